--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,127 @@
+//! The configuration in force.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use async_std::task;
+use ggb_config::{Generation, Snapshot};
+use ggb_platform::ProfileStore;
+use ggb_telemetry::log_event;
+use parking_lot::Mutex;
+
+const POLL_MS: u64 = 1_500;
+
+/// The configuration in force, kept current in the background.
+///
+/// The generation in force never goes down.
+pub struct Configuration {
+    published: ArcSwapOption<Snapshot>,
+    advancing: Mutex<()>,
+    reachable: AtomicBool,
+}
+
+impl Configuration {
+    /// Starts to poll the platform's table.
+    pub fn spawn(store: ProfileStore) -> Arc<Self> {
+        let configuration = Arc::new(Configuration {
+            published: ArcSwapOption::empty(),
+            advancing: Mutex::new(()),
+            reachable: AtomicBool::new(true),
+        });
+        task::spawn(Arc::clone(&configuration).poll(store));
+        configuration
+    }
+
+    /// Returns the configuration in force, if there is one.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.published.load_full()
+    }
+
+    /// Returns the generation in force, if there is a configuration.
+    pub fn generation(&self) -> Option<Generation> {
+        self.published.load().as_ref().map(|snapshot| snapshot.generation())
+    }
+
+    /// Returns whether the platform's table could be read last time.
+    pub fn reachable(&self) -> bool {
+        self.reachable.load(Ordering::Relaxed)
+    }
+
+    /// Takes a configuration from the table or a peer, if it is newer.
+    pub fn offer(&self, newer: Snapshot, source: Source) {
+        let _one_at_a_time = self.advancing.lock();
+        let mut current = self.snapshot().map(|snapshot| (*snapshot).clone());
+        let advanced = match &mut current {
+            Some(current) => current.advance(newer),
+            None => {
+                current = Some(newer);
+                true
+            }
+        };
+        if let Some(snapshot) = current.filter(|_| advanced) {
+            let generation = snapshot.generation().0;
+            self.published.store(Some(Arc::new(snapshot)));
+            log_event!(info, GenerationAdvanced, generation, source = %source);
+        }
+    }
+
+    async fn poll(self: Arc<Self>, store: ProfileStore) {
+        loop {
+            self.poll_once(&store).await;
+            task::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
+    async fn poll_once(&self, store: &ProfileStore) {
+        let read = match store.head_generation().await {
+            Ok(head) if self.generation() == Some(head.unwrap_or_default()) => {
+                return self.note_reachable();
+            }
+            Ok(_) => store.snapshot().await,
+            Err(error) => Err(error),
+        };
+        match read {
+            Ok(Ok(snapshot)) => {
+                self.note_reachable();
+                self.offer(snapshot, Source::Table);
+            }
+            Ok(Err(error)) => log_event!(error, ConfigurationUnreadable, %error),
+            Err(error) => {
+                if self.reachable.swap(false, Ordering::Relaxed) {
+                    log_event!(warn, TableUnreachable, %error);
+                }
+            }
+        }
+    }
+
+    fn note_reachable(&self) {
+        if !self.reachable.swap(true, Ordering::Relaxed) {
+            log_event!(info, TableReachable);
+        }
+    }
+}
+
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's table.
+    Table,
+    /// A peer.
+    Peer(SocketAddr),
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Source::Table => f.write_str("table"),
+            Source::Peer(addr) => addr.fmt(f),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/exchange.rs
@@ -0,0 +1,67 @@
+//! Asking a peer for news.
+
+use std::{net::SocketAddr, time::Duration};
+
+use ggb_config::{Generation, Snapshot};
+use ggb_membership::Vm;
+use ggb_model::HomeId;
+use ggb_wire::{
+    addrs_from, home_from,
+    v1::{ExchangeReply, ExchangeRequest, peer_client::PeerClient},
+};
+use tonic::Request;
+
+use crate::Channels;
+
+const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
+
+/// What a peer knows that the asker may not.
+#[derive(Clone, Debug)]
+pub struct News {
+    /// The peer.
+    pub home: HomeId,
+    /// The generation that the peer has in force.
+    pub generation: Option<Generation>,
+    /// The peer's configuration, if it is newer.
+    pub snapshot: Option<Snapshot>,
+    /// Homes that drained, and who holds their sealed tables.
+    pub moved: Vec<(HomeId, Vec<SocketAddr>)>,
+    /// Whether the peer drains.
+    pub draining: bool,
+    /// The list of VMs, if it was asked for.
+    pub vms: Vec<Vm>,
+}
+
+/// Asks a peer for news; returns nothing if it gives no usable answer in time.
+pub async fn ask_peer(
+    channels: &Channels,
+    peer: SocketAddr,
+    own: Option<HomeId>,
+    generation: Option<Generation>,
+    wants_vms: bool,
+) -> Option<News> {
+    let message = ExchangeRequest {
+        home: own.map(|home| home.to_string()).unwrap_or_default(),
+        generation: generation.map(|generation| generation.0),
+        wants_vms,
+    };
+    let mut request = Request::new(message);
+    request.set_timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS));
+    let reply = PeerClient::new(channels.to(peer)).exchange(request).await.ok()?;
+    read_news(reply.into_inner())
+}
+
+fn read_news(reply: ExchangeReply) -> Option<News> {
+    let moved = reply
+        .moved
+        .iter()
+        .filter_map(|moved| Some((home_from(&moved.home).ok()?, addrs_from(&moved.holders).ok()?)));
+    Some(News {
+        home: home_from(&reply.home).ok()?,
+        generation: reply.generation.map(Generation),
+        snapshot: reply.snapshot.and_then(|text| serde_json::from_str(&text).ok()),
+        moved: moved.collect(),
+        draining: reply.draining,
+        vms: reply.vms.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,136 @@
+//! The VMs that a process knows.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use async_std::task;
+use ggb_membership::{Role, View, Vm};
+use ggb_platform::VmList;
+use ggb_telemetry::log_event;
+use parking_lot::Mutex;
+use rand::seq::SliceRandom as _;
+
+use crate::{Channels, Clock, ask_peer};
+
+const POLL_MS: u64 = 1_000;
+
+/// The VMs that a process knows, kept current in the background.
+pub struct Members {
+    clock: Clock,
+    view: Mutex<View>,
+    published: ArcSwap<View>,
+    listed: AtomicBool,
+    reachable: AtomicBool,
+}
+
+impl Members {
+    /// Starts to poll `list`; while it can't be had and nothing is known, asks `seeds`.
+    pub fn spawn(
+        list: Arc<dyn VmList>,
+        channels: Arc<Channels>,
+        seeds: Vec<SocketAddr>,
+        clock: Clock,
+    ) -> Arc<Self> {
+        let members = Arc::new(Members {
+            clock,
+            view: Mutex::new(View::default()),
+            published: ArcSwap::default(),
+            listed: AtomicBool::new(false),
+            reachable: AtomicBool::new(true),
+        });
+        task::spawn(Arc::clone(&members).poll(list, channels, seeds));
+        members
+    }
+
+    /// Returns what is known now.
+    pub fn view(&self) -> Arc<View> {
+        self.published.load_full()
+    }
+
+    /// Returns whether any list has been seen.
+    pub fn listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the platform's list could be read last time.
+    pub fn reachable(&self) -> bool {
+        self.reachable.load(Ordering::Relaxed)
+    }
+
+    /// Records that a VM said itself that it is leaving.
+    pub fn observe_leaving(&self, addr: SocketAddr) {
+        self.update(|view| view.observe_leaving(addr));
+    }
+
+    /// Records that a VM answered.
+    pub fn observe_alive(&self, addr: SocketAddr) {
+        let now_ms = self.clock.now_ms();
+        self.update(|view| view.observe_alive(addr, now_ms));
+    }
+
+    /// Returns the entry processes other than `own`, in random order.
+    pub fn peers(&self, own: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let view = self.view();
+        let others = view.staying(Role::Entry).map(|vm| vm.addr);
+        let mut peers: Vec<_> = others.filter(|addr| Some(*addr) != own).collect();
+        peers.shuffle(&mut rand::rng());
+        peers
+    }
+
+    async fn poll(
+        self: Arc<Self>,
+        list: Arc<dyn VmList>,
+        channels: Arc<Channels>,
+        seeds: Vec<SocketAddr>,
+    ) {
+        loop {
+            match list.list().await {
+                Ok(vms) => {
+                    self.apply(&vms);
+                    if !self.reachable.swap(true, Ordering::Relaxed) {
+                        log_event!(info, VmListReachable);
+                    }
+                }
+                Err(error) => {
+                    if self.reachable.swap(false, Ordering::Relaxed) {
+                        log_event!(warn, VmListUnreachable, %error);
+                    }
+                    self.ask_seeds(&channels, &seeds).await;
+                }
+            }
+            task::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
+    async fn ask_seeds(&self, channels: &Channels, seeds: &[SocketAddr]) {
+        if self.listed() {
+            return;
+        }
+        for seed in seeds {
+            if let Some(news) = ask_peer(channels, *seed, None, None, true).await
+                && !news.vms.is_empty()
+            {
+                return self.apply(&news.vms);
+            }
+        }
+    }
+
+    fn apply(&self, vms: &[Vm]) {
+        let now_ms = self.clock.now_ms();
+        self.update(|view| view.apply_list(vms, now_ms));
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
+    fn update(&self, change: impl FnOnce(&mut View)) {
+        let mut view = self.view.lock();
+        change(&mut view);
+        self.published.store(Arc::new(view.clone()));
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/batch.rs
@@ -0,0 +1,72 @@
+//! From messages to the types of the policy, and back.
+
+use ggb_model::TaskShape;
+use ggb_policy::{Demand, HeldLease, JobKey, LeaseEnd, StreamId, WorkClass, WorkKey, ZoneLoad};
+use ggb_wire::{WireError, addr_from, priority_from, v1};
+
+/// A task that a home already runs, with the home's own number for it.
+pub(crate) struct Held {
+    pub(crate) number: u64,
+    pub(crate) key: JobKey,
+    pub(crate) class: WorkClass,
+    pub(crate) lease: HeldLease,
+}
+
+pub(crate) fn read_demand(stream: StreamId, demand: v1::Demand) -> Result<Demand, WireError> {
+    let count = u16::try_from(demand.count).ok().filter(|count| *count > 0);
+    Ok(Demand {
+        key: JobKey { stream, job: demand.job },
+        class: read_class(demand.class)?,
+        shape: read_shape(demand.shape)?,
+        count: count.ok_or_else(|| WireError::new("count", demand.count))?,
+        start_within_ms: demand.start_within_ms,
+    })
+}
+
+pub(crate) fn read_held(stream: StreamId, held: v1::Held) -> Result<Held, WireError> {
+    Ok(Held {
+        number: held.number,
+        key: JobKey { stream, job: held.job },
+        class: read_class(held.class)?,
+        lease: HeldLease { target: addr_from(&held.target)?, shape: read_shape(held.shape)? },
+    })
+}
+
+pub(crate) fn read_end(release: &v1::Release) -> LeaseEnd {
+    match release.end() {
+        v1::LeaseEnd::Done => LeaseEnd::Done { run_ms: release.run_ms },
+        v1::LeaseEnd::Failed => LeaseEnd::Failed,
+        v1::LeaseEnd::DeniedFull => LeaseEnd::DeniedFull,
+        v1::LeaseEnd::DeniedLeaving => LeaseEnd::DeniedLeaving,
+        v1::LeaseEnd::Unreachable => LeaseEnd::Unreachable,
+        v1::LeaseEnd::Lost => LeaseEnd::Lost,
+        v1::LeaseEnd::Unused | v1::LeaseEnd::Unspecified => LeaseEnd::Unused,
+    }
+}
+
+pub(crate) const fn write_load(load: &ZoneLoad) -> v1::ZoneLoad {
+    v1::ZoneLoad {
+        slots: load.slots,
+        free: load.free,
+        queued_tasks: load.queued_tasks,
+        mean_run_ms: load.mean_run_ms,
+    }
+}
+
+fn read_class(class: Option<v1::WorkClass>) -> Result<WorkClass, WireError> {
+    let class = class.ok_or_else(|| WireError::new("class", "nothing"))?;
+    let priority = priority_from(class.priority())?;
+    Ok(WorkClass {
+        priority,
+        team: class.team.parse().map_err(|_| WireError::new("team", &class.team))?,
+        team_weight: u16::try_from(class.team_weight).unwrap_or(u16::MAX),
+        quota_slots: class.quota_slots,
+        quota_queued_tasks: class.quota_queued_tasks,
+        work: WorkKey(class.work),
+        declared_ms: class.declared_ms,
+    })
+}
+
+fn read_shape(shape: Option<v1::Shape>) -> Result<TaskShape, WireError> {
+    shape.ok_or_else(|| WireError::new("shape", "nothing"))?.try_into()
+}
--- /dev/null
+++ b/crates/dispatch/src/process.rs
@@ -0,0 +1,137 @@
+//! A running dispatcher.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::task;
+use error_stack::{Report, ResultExt as _};
+use ggb_control::{Channels, Clock, Members, RpcListener};
+use ggb_http::{ClientLimits, HttpClient};
+use ggb_platform::{HttpTargets, HttpVmList};
+use ggb_telemetry::{Gauges, OperatorServer, Phase, StatusSource, log_event};
+use ggb_wire::v1::dispatch_server::DispatchServer;
+use serde_json::{Value, json};
+use tonic::transport::Server;
+
+use crate::{
+    core::Core,
+    service::DispatchService,
+    settings::DispatchSettings,
+    targets::{follow_list, probe},
+};
+
+const REFRESH_MS: u64 = 20;
+const REFRESHES_PER_HEARTBEAT: u32 = 25;
+
+/// A dispatcher that could not start.
+#[derive(Debug)]
+pub struct SpawnError;
+
+impl fmt::Display for SpawnError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the dispatcher could not start")
+    }
+}
+
+impl std::error::Error for SpawnError {}
+
+/// A running dispatcher.
+pub struct Dispatcher {
+    core: Arc<Core>,
+    rpc_addr: SocketAddr,
+    operator: OperatorServer,
+}
+
+impl Dispatcher {
+    /// Binds all addresses and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn spawn(settings: DispatchSettings) -> Result<Self, Report<SpawnError>> {
+        let clock = Clock::start();
+        let core = Arc::new(Core::new(settings.options.clone(), clock));
+        let listener = RpcListener::bind(settings.rpc_listen).change_context(SpawnError)?;
+        let rpc_addr = listener.local_addr();
+        let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
+        let client = Arc::new(HttpClient::new(limits));
+        let channels = Arc::new(Channels::new(settings.source_ip));
+        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
+        let members = Members::spawn(list, channels, settings.seeds.clone(), clock);
+        let source =
+            Arc::new(DispatchStatus { core: Arc::clone(&core), members: Arc::clone(&members) });
+        let operator = OperatorServer::bind(settings.operator_listen, source);
+        let operator = operator.await.change_context(SpawnError)?;
+        let incoming = listener.into_incoming().change_context(SpawnError)?;
+        let service = DispatchServer::new(DispatchService::new(Arc::clone(&core)));
+        task::spawn(Server::builder().add_service(service).serve_with_incoming(incoming));
+        let zone = settings.zone;
+        task::spawn(follow_list(Arc::clone(&core), Arc::clone(&members), zone.clone()));
+        let targets = Arc::new(HttpTargets::new(client));
+        task::spawn(probe(Arc::clone(&core), members, targets, zone));
+        task::spawn(keep_fresh(Arc::clone(&core)));
+        log_event!(info, Started, role = "dispatch", rpc = %rpc_addr, operator = %operator.local_addr());
+        Ok(Dispatcher { core, rpc_addr, operator })
+    }
+
+    /// Returns the address where homes connect.
+    pub const fn rpc_addr(&self) -> SocketAddr {
+        self.rpc_addr
+    }
+
+    /// Returns the operators' address.
+    pub const fn operator_addr(&self) -> SocketAddr {
+        self.operator.local_addr()
+    }
+
+    /// Sends all homes to the dispatcher next in order.
+    ///
+    /// Leases stay valid: homes bring them along.
+    pub fn drain(&self) {
+        log_event!(info, DrainBegun);
+        self.core.disconnect_all();
+        log_event!(info, DrainEnded);
+    }
+}
+
+async fn keep_fresh(core: Arc<Core>) {
+    loop {
+        for _ in 0..REFRESHES_PER_HEARTBEAT {
+            task::sleep(Duration::from_millis(REFRESH_MS)).await;
+            core.refresh();
+        }
+        core.push_loads();
+    }
+}
+
+struct DispatchStatus {
+    core: Arc<Core>,
+    members: Arc<Members>,
+}
+
+impl StatusSource for DispatchStatus {
+    fn phase(&self) -> Phase {
+        match (self.members.listed(), self.members.reachable()) {
+            (false, _) => Phase::Starting,
+            (true, true) => Phase::Serving,
+            (true, false) => Phase::CutOff,
+        }
+    }
+
+    fn details(&self) -> Value {
+        let (stats, homes) = self.core.stats();
+        json!({
+            "total_slots": stats.total_slots,
+            "used_slots": stats.used_slots,
+            "free_slots": stats.free_slots,
+            "queued_tasks": stats.queued_tasks,
+            "leases": stats.leases,
+            "targets": stats.targets,
+            "ejected_targets": stats.ejected,
+            "homes": homes,
+        })
+    }
+
+    fn metrics(&self) -> &dyn Gauges {
+        self.core.metrics()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,225 @@
+//! A running entry process.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::task;
+use error_stack::{Report, ResultExt as _};
+use ggb_control::{Channels, Clock, Configuration, Members, RpcListener};
+use ggb_http::{ClientLimits, HttpClient, HttpServer, ServerLimits};
+use ggb_model::{HomeId, Incarnation};
+use ggb_platform::{ClaimStore, HttpTable, HttpTargets, HttpVmList, ProfileStore, Table};
+use ggb_session::SessionTable;
+use ggb_telemetry::{Gauges, OperatorServer, Phase, StatusSource, log_event};
+use ggb_wire::v1::peer_server::PeerServer;
+use serde_json::{Value, json};
+use tonic::transport::Server;
+
+use crate::{
+    api::CallerApi,
+    drain,
+    home::{Home, HomeParts},
+    link::LinkSink,
+    links::Links,
+    moved::MovedHomes,
+    peers::Peers,
+    reports::Reports,
+    router::Router,
+    rpc::PeerService,
+    settings::{EntrySettings, Placer},
+};
+
+const MESSAGE_BYTES: usize = 80 << 20;
+const EVICT_MS: u64 = 10_000;
+
+/// An entry process that could not start.
+#[derive(Debug)]
+pub struct SpawnError;
+
+impl fmt::Display for SpawnError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the entry process could not start")
+    }
+}
+
+impl std::error::Error for SpawnError {}
+
+/// A running entry process.
+pub struct Entry {
+    home: Arc<Home>,
+    peers: Arc<Peers>,
+    moved: Arc<MovedHomes>,
+    channels: Arc<Channels>,
+    http: HttpServer,
+    operator: OperatorServer,
+}
+
+impl Entry {
+    /// Binds all addresses and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn spawn(settings: EntrySettings) -> Result<Self, Report<SpawnError>> {
+        let clock = Clock::start();
+        let listener = RpcListener::bind(settings.rpc_listen).change_context(SpawnError)?;
+        let rpc_addr = settings.rpc_advertise.unwrap_or(listener.local_addr());
+        let id = HomeId::new(rpc_addr, Incarnation(rand::random()));
+
+        let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
+        let client = Arc::new(HttpClient::new(limits));
+        let channels = Arc::new(Channels::new(settings.source_ip));
+        let table: Arc<dyn Table> =
+            Arc::new(HttpTable::new(settings.platform, Arc::clone(&client)));
+        let configuration = Configuration::spawn(ProfileStore::new(Arc::clone(&table)));
+        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
+        let members = Members::spawn(list, Arc::clone(&channels), settings.seeds.clone(), clock);
+        let links = Arc::new(Links::new(settings.zone.clone()));
+        let reports = Arc::new(Reports::default());
+        let targets = Arc::new(HttpTargets::new(client));
+        let home = Home::new(HomeParts {
+            table: SessionTable::new(id, settings.limits.clone()),
+            clock,
+            configuration: Arc::clone(&configuration),
+            members: Arc::clone(&members),
+            links: Arc::clone(&links),
+            targets: Arc::clone(&targets) as _,
+            claims: ClaimStore::new(table),
+            placer: settings.placer,
+            reports: Arc::clone(&reports),
+        });
+        let moved = Arc::new(MovedHomes::default());
+        let peers = Arc::new(Peers {
+            own: id,
+            clock,
+            channels: Arc::clone(&channels),
+            members: Arc::clone(&members),
+            configuration: Arc::clone(&configuration),
+            moved: Arc::clone(&moved),
+            seeds: settings.seeds.clone(),
+        });
+        let router = Arc::new(Router::new(
+            Arc::clone(&home),
+            Arc::clone(&moved),
+            Arc::clone(&peers),
+            Arc::clone(&channels),
+        ));
+        let service = PeerService {
+            home: Arc::clone(&home),
+            zone: settings.zone.clone(),
+            clock,
+            router: Arc::clone(&router),
+            moved: Arc::clone(&moved),
+            configuration: Arc::clone(&configuration),
+            members: Arc::clone(&members),
+        };
+        let service = PeerServer::new(service)
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES);
+        let incoming = listener.into_incoming().change_context(SpawnError)?;
+        task::spawn(Server::builder().add_service(service).serve_with_incoming(incoming));
+
+        let status = EntryStatus {
+            home: Arc::clone(&home),
+            configuration: Arc::clone(&configuration),
+            members: Arc::clone(&members),
+            links: Arc::clone(&links),
+            moved: Arc::clone(&moved),
+        };
+        let operator = OperatorServer::bind(settings.operator_listen, Arc::new(status));
+        let operator = operator.await.change_context(SpawnError)?;
+        let api = Arc::new(CallerApi {
+            home: Arc::clone(&home),
+            router,
+            body_bytes: settings.body_bytes,
+        });
+        let server_limits = ServerLimits { connections: settings.connections };
+        let handler = move |request| {
+            let api = Arc::clone(&api);
+            async move { api.respond(request).await }
+        };
+        let http = HttpServer::bind(settings.http_listen, server_limits, handler);
+        let http = http.await.change_context(SpawnError)?;
+
+        let sink: Arc<dyn LinkSink> = Arc::clone(&home) as _;
+        match settings.placer {
+            Placer::Leases => {
+                let sink = Arc::downgrade(&sink);
+                task::spawn(links.follow(members, Arc::clone(&channels), sink));
+            }
+            Placer::TwoChoices => drop(task::spawn(reports.follow(members, targets))),
+            Placer::Random => {}
+        }
+        task::spawn(Arc::clone(&peers).follow());
+        task::spawn(evict(Arc::clone(&home)));
+        log_event!(
+            info, Started, role = "entry", home = %id, http = %http.local_addr(),
+            operator = %operator.local_addr()
+        );
+        Ok(Entry { home, peers, moved, channels, http, operator })
+    }
+
+    /// Returns the address where callers connect.
+    pub const fn http_addr(&self) -> SocketAddr {
+        self.http.local_addr()
+    }
+
+    /// Returns the address at which the other entry processes reach this one.
+    pub fn rpc_addr(&self) -> SocketAddr {
+        self.home.id.addr
+    }
+
+    /// Returns the operators' address.
+    pub const fn operator_addr(&self) -> SocketAddr {
+        self.operator.local_addr()
+    }
+
+    /// Finishes the work in progress, hands the sessions on and stops.
+    pub async fn drain(self) {
+        drain::drain(&self.home, &self.peers, &self.moved, &self.channels).await;
+        self.http.stop().await;
+        log_event!(info, DrainEnded);
+    }
+}
+
+async fn evict(home: Arc<Home>) {
+    loop {
+        task::sleep(Duration::from_millis(EVICT_MS)).await;
+        home.evict_idle();
+    }
+}
+
+struct EntryStatus {
+    home: Arc<Home>,
+    configuration: Arc<Configuration>,
+    members: Arc<Members>,
+    links: Arc<Links>,
+    moved: Arc<MovedHomes>,
+}
+
+impl StatusSource for EntryStatus {
+    fn phase(&self) -> Phase {
+        let reachable = self.configuration.reachable() && self.members.reachable();
+        match self.configuration.generation() {
+            _ if self.home.is_draining() => Phase::Draining,
+            None => Phase::Starting,
+            Some(_) if reachable => Phase::Serving,
+            Some(_) => Phase::CutOff,
+        }
+    }
+
+    fn details(&self) -> Value {
+        let links = self.links.all();
+        let connected = links.iter().filter(|link| link.is_connected());
+        json!({
+            "home": self.home.id,
+            "generation": self.configuration.generation(),
+            "running_jobs": self.home.running_jobs(),
+            "connected_zones": connected.map(|link| link.zone.as_str()).collect::<Vec<_>>(),
+            "sealed_tables": self.moved.tables(),
+        })
+    }
+
+    fn metrics(&self) -> &dyn Gauges {
+        self.home.fresh_metrics()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/rpc.rs
@@ -0,0 +1,107 @@
+//! What the other entry processes ask of this one.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use ggb_control::{Clock, Configuration, Members};
+use ggb_membership::{Role, Vm};
+use ggb_model::{Sequence, SubmissionId, Zone};
+use ggb_session::SealedTable;
+use ggb_telemetry::log_event;
+use ggb_wire::{
+    addrs_from,
+    v1::{
+        ExchangeReply, ExchangeRequest, ForwardReply, ForwardRequest, HandoffReply, HandoffRequest,
+        Moved, peer_server::Peer,
+    },
+};
+use tonic::{Request, Response, Status};
+
+use crate::{
+    home::Home,
+    moved::MovedHomes,
+    router::{Call, Router, write_reply},
+};
+
+const MAX_WAIT_MS: u32 = 60_000;
+
+pub(crate) struct PeerService {
+    pub(crate) home: Arc<Home>,
+    pub(crate) zone: Zone,
+    pub(crate) clock: Clock,
+    pub(crate) router: Arc<Router>,
+    pub(crate) moved: Arc<MovedHomes>,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) members: Arc<Members>,
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn forward(
+        &self,
+        request: Request<ForwardRequest>,
+    ) -> Result<Response<ForwardReply>, Status> {
+        let message = request.into_inner();
+        let action = message.action();
+        let session = message
+            .session
+            .parse()
+            .map_err(|error| Status::invalid_argument(format!("{error}")))?;
+        let call = Call {
+            id: SubmissionId { session, sequence: Sequence(message.sequence) },
+            action,
+            body: message.body,
+            wait_ms: message.wait_ms.min(MAX_WAIT_MS),
+        };
+        Ok(Response::new(write_reply(self.router.answer_here(&call).await)))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let message = request.into_inner();
+        let snapshot = self.configuration.snapshot();
+        let newer = snapshot.as_ref().filter(|snapshot| {
+            message.generation.is_none_or(|known| known < snapshot.generation().0)
+        });
+        let news = self.moved.news(message.generation.is_none(), self.clock.now_ms());
+        let moved = news.iter().map(|(home, holders)| Moved {
+            home: home.to_string(),
+            holders: holders.iter().map(SocketAddr::to_string).collect(),
+        });
+        Ok(Response::new(ExchangeReply {
+            home: self.home.id.to_string(),
+            zone: self.zone.to_string(),
+            generation: snapshot.as_ref().map(|snapshot| snapshot.generation().0),
+            snapshot: newer.and_then(|snapshot| serde_json::to_string(&**snapshot).ok()),
+            moved: moved.collect(),
+            draining: self.home.is_draining(),
+            vms: message.wants_vms.then(|| self.vms()).flatten(),
+        }))
+    }
+
+    async fn handoff(
+        &self,
+        request: Request<HandoffRequest>,
+    ) -> Result<Response<HandoffReply>, Status> {
+        let message = request.into_inner();
+        let invalid = |error: String| Status::invalid_argument(error);
+        let part: SealedTable =
+            serde_json::from_str(&message.table).map_err(|error| invalid(error.to_string()))?;
+        let holders = addrs_from(&message.holders).map_err(|error| invalid(error.to_string()))?;
+        if part.sessions() > 0 {
+            log_event!(info, TableAdopted, home = %part.home(), sessions = part.sessions());
+        }
+        self.moved.adopt(part, &holders, self.clock.now_ms());
+        Ok(Response::new(HandoffReply {}))
+    }
+}
+
+impl PeerService {
+    fn vms(&self) -> Option<String> {
+        let view = self.members.view();
+        let roles = [Role::Entry, Role::Dispatch, Role::Target];
+        let vms: Vec<&Vm> = roles.into_iter().flat_map(|role| view.staying(role)).collect();
+        serde_json::to_string(&vms).ok()
+    }
+}
--- /dev/null
+++ b/crates/greengagebeam/src/bin/ggb-entry.rs
@@ -0,0 +1,19 @@
+//! Home of sessions and caller side.
+
+use ggb_entry::Entry;
+use greengagebeam::{ExitCode, entry_args, exit_with, termination};
+
+#[async_std::main]
+async fn main() {
+    let args = entry_args().run();
+    let settings = args.settings().unwrap_or_else(|error| exit_with(ExitCode::BadSettings, error));
+    if args.check {
+        println!("settings are valid");
+        return;
+    }
+    let stop = termination().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
+    let entry = Entry::spawn(settings).await;
+    let entry = entry.unwrap_or_else(|error| exit_with(ExitCode::Failed, format!("{error:?}")));
+    stop.recv().await.ok();
+    entry.drain().await;
+}
--- /dev/null
+++ b/crates/greengagebeam/src/log_args.rs
@@ -0,0 +1,31 @@
+//! Flags for logs.
+
+use bpaf::Bpaf;
+use ggb_telemetry::{LogFormat, init_logs};
+
+use crate::Checked;
+
+/// Flags for logs.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(log_args))]
+pub struct LogArgs {
+    /// How log lines look: `human` or `json`
+    #[bpaf(long, env("GGB_LOG_FORMAT"), argument("FORMAT"), fallback("human".to_owned()), display_fallback)]
+    pub log_format: String,
+    /// Which events are logged, such as `info` or `warn,ggb_entry=debug`
+    #[bpaf(long, env("GGB_LOG_FILTER"), argument("FILTER"), fallback("info".to_owned()), display_fallback)]
+    pub log_filter: String,
+}
+
+impl LogArgs {
+    /// Checks the flags and sets up logs.
+    pub fn apply(&self, checked: &mut Checked) {
+        let format: Option<LogFormat> =
+            checked.value("log-format", &self.log_format, "`human` or `json`");
+        if let Some(format) = format
+            && init_logs(format, &self.log_filter).is_err()
+        {
+            let _: Option<u8> = checked.value("log-filter", &self.log_filter, "a log filter");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for the platform and for targets, and a relay that injects network faults.
+//!
+//! # Overview
+//!
+//! None of this is part of the system; it takes the place of what the system talks
+//! to, in tests, in the load tool and for a first try.
+//!
+//! * [`PlatformStandin`] is a table service and a list of VMs, with [`TableFault`]s.
+//! * [`TargetStandin`] runs tasks by waiting, and logs what it starts.
+//! * [`Relay`] stands in front of processes and cuts or delays traffic by [`LinkRule`]s.
+
+mod platform;
+mod relay;
+mod target;
+mod target_log;
+
+pub use crate::{
+    platform::{PlatformStandin, TableFault},
+    relay::{Endpoints, LinkEffect, LinkRule, Relay},
+    target::{TargetMode, TargetOptions, TargetStandin, TaskPayload},
+    target_log::{LogKind, LogLine, read_log},
+};
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,46 @@
+//! Logs on standard error.
+
+use std::{io, str::FromStr};
+
+use ggb_model::ModelError;
+use tracing_subscriber::EnvFilter;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = ModelError;
+
+    fn from_str(word: &str) -> Result<Self, ModelError> {
+        match word {
+            "human" => Ok(LogFormat::Human),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(ModelError::new("log-format", word, "`human` or `json`")),
+        }
+    }
+}
+
+/// Sends log lines to standard error from now on.
+///
+/// `filter` has the form that `tracing-subscriber` reads, such as `info` or
+/// `ggb_entry=debug`. A second call has no effect.
+///
+/// # Errors
+///
+/// Fails if the filter can't be read.
+pub fn init_logs(format: LogFormat, filter: &str) -> Result<(), ModelError> {
+    let filter = EnvFilter::try_new(filter)
+        .map_err(|_| ModelError::new("log-filter", filter, "a filter such as `info`"))?;
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr);
+    match format {
+        LogFormat::Human => builder.with_ansi(false).try_init().ok(),
+        LogFormat::Json => builder.json().flatten_event(true).try_init().ok(),
+    };
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire-gen/src/main.rs
@@ -0,0 +1,17 @@
+//! Generates the code of `ggb-wire` from its schema.
+//!
+//! Run it by hand from the root of the workspace after a change of the schema and
+//! commit what it writes: `cargo run -p ggb-wire-gen`.
+
+use std::{error::Error, path::Path};
+
+const PROTO_DIR: &str = "crates/wire/proto";
+const OUT_DIR: &str = "crates/wire/src/generated";
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let schema = Path::new(PROTO_DIR).join("greengagebeam.proto");
+    let descriptors = protox::compile([&schema], [PROTO_DIR])?;
+    std::fs::create_dir_all(OUT_DIR)?;
+    tonic_prost_build::configure().out_dir(OUT_DIR).compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,104 @@
+//! Conversions from and to the types of the model.
+
+use std::{fmt, net::SocketAddr};
+
+use ggb_model::{HomeId, Priority, TaskShape};
+
+use crate::v1;
+
+/// A message that does not meet its rules.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireError {
+    field: &'static str,
+    given: String,
+}
+
+impl WireError {
+    /// Returns an error for `field`, saying what was given.
+    pub fn new(field: &'static str, given: impl ToString) -> Self {
+        WireError { field, given: given.to_string() }
+    }
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "decode: field {}: got `{}`, expected a valid value", self.field, self.given)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl From<TaskShape> for v1::Shape {
+    fn from(shape: TaskShape) -> Self {
+        v1::Shape {
+            slots: shape.slots.into(),
+            memory_mib: shape.memory_mib,
+            accelerators: shape.accelerators.into(),
+        }
+    }
+}
+
+impl TryFrom<v1::Shape> for TaskShape {
+    type Error = WireError;
+
+    fn try_from(shape: v1::Shape) -> Result<Self, WireError> {
+        let narrow =
+            |field, value: u32| u16::try_from(value).map_err(|_| WireError::new(field, value));
+        Ok(TaskShape {
+            slots: narrow("slots", shape.slots)?,
+            memory_mib: shape.memory_mib,
+            accelerators: narrow("accelerators", shape.accelerators)?,
+        })
+    }
+}
+
+impl From<Priority> for v1::Priority {
+    fn from(priority: Priority) -> Self {
+        match priority {
+            Priority::Urgent => v1::Priority::Urgent,
+            Priority::Standard => v1::Priority::Standard,
+            Priority::Background => v1::Priority::Background,
+        }
+    }
+}
+
+/// Returns the priority that a message names.
+///
+/// # Errors
+///
+/// Fails if the message names none.
+pub fn priority_from(priority: v1::Priority) -> Result<Priority, WireError> {
+    match priority {
+        v1::Priority::Urgent => Ok(Priority::Urgent),
+        v1::Priority::Standard => Ok(Priority::Standard),
+        v1::Priority::Background => Ok(Priority::Background),
+        v1::Priority::Unspecified => Err(WireError::new("priority", "unspecified")),
+    }
+}
+
+/// Returns the address that a message names.
+///
+/// # Errors
+///
+/// Fails if the text is not an address with a port.
+pub fn addr_from(text: &str) -> Result<SocketAddr, WireError> {
+    text.parse().map_err(|_| WireError::new("address", text))
+}
+
+/// Returns the addresses that a message names.
+///
+/// # Errors
+///
+/// Fails at the first text that is not an address with a port.
+pub fn addrs_from(texts: &[String]) -> Result<Vec<SocketAddr>, WireError> {
+    texts.iter().map(|text| addr_from(text)).collect()
+}
+
+/// Returns the home that a message names.
+///
+/// # Errors
+///
+/// Fails if the text is not a home.
+pub fn home_from(text: &str) -> Result<HomeId, WireError> {
+    text.parse().map_err(|_| WireError::new("home", text))
+}
