Moves are told once to each peer; pings find frozen peers; load tool

Cause of drain_while_cut failing once in two runs: peers passed on who holds a drained home's table for 30 s only, and a forwarded call across a cut waited 31.5 s, so a cut longer than that lost the news. Ruled out: the relay (it passes held bytes on after healing) and the handoff (a2 answered). Now every peer names the last move that it has had, and HTTP/2 pings end calls to frozen or cut peers within 4 s.

Cause of dispatcher_killed failing once in three runs: a dispatcher that had just booted took homes before it had seen the list of VMs, and refused their jobs as 'no_targets'. It now takes homes only once it has seen the list.

--- a/crates/control/src/channels.rs
+++ b/crates/control/src/channels.rs
@@ -9,6 +9,8 @@
 use tonic::transport::{Channel, Endpoint};
 
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const PING_MS: u64 = 2_000;
+const PING_TIMEOUT_MS: u64 = 2_000;
 
 /// A channel to each peer, opened when it is first used.
 #[derive(Debug)]
@@ -26,7 +28,8 @@
 
     /// Returns the channel to `addr`.
     ///
-    /// The channel connects anew by itself after a failure.
+    /// The channel connects anew by itself after a failure. While calls are open, pings
+    /// find a peer that is frozen or cut off, so that a call does not wait it out.
     pub fn to(&self, addr: SocketAddr) -> Channel {
         let mut channels = self.channels.lock();
         match channels.binary_search_by_key(&addr, |(addr, _)| *addr) {
@@ -51,6 +54,8 @@
         endpoint
             .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
             .tcp_nodelay(true)
+            .http2_keep_alive_interval(Duration::from_millis(PING_MS))
+            .keep_alive_timeout(Duration::from_millis(PING_TIMEOUT_MS))
             .local_address(self.source_ip)
             .connect_lazy()
     }
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -15,6 +15,19 @@
 
 const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
 
+/// What an asker knows already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Known {
+    /// The asker, if it is an entry process.
+    pub own: Option<HomeId>,
+    /// The generation that it has in force.
+    pub generation: Option<Generation>,
+    /// The process that it has asked before at the address, and the last move it had from it.
+    pub last_move: Option<(HomeId, u64)>,
+    /// Whether it lacks a list of VMs.
+    pub wants_vms: bool,
+}
+
 /// What a peer knows that the asker may not.
 #[derive(Clone, Debug)]
 pub struct News {
@@ -26,6 +39,8 @@
     pub snapshot: Option<Snapshot>,
     /// Homes that drained, and who holds their sealed tables.
     pub moved: Vec<(HomeId, Vec<SocketAddr>)>,
+    /// The number of the last move that the peer has told.
+    pub last_move: u64,
     /// Whether the peer drains.
     pub draining: bool,
     /// The list of VMs, if it was asked for.
@@ -33,17 +48,14 @@
 }
 
 /// Asks a peer for news; returns nothing if it gives no usable answer in time.
-pub async fn ask_peer(
-    channels: &Channels,
-    peer: SocketAddr,
-    own: Option<HomeId>,
-    generation: Option<Generation>,
-    wants_vms: bool,
-) -> Option<News> {
+pub async fn ask_peer(channels: &Channels, peer: SocketAddr, known: Known) -> Option<News> {
+    let text = |home: Option<HomeId>| home.map(|home| home.to_string()).unwrap_or_default();
     let message = ExchangeRequest {
-        home: own.map(|home| home.to_string()).unwrap_or_default(),
-        generation: generation.map(|generation| generation.0),
-        wants_vms,
+        home: text(known.own),
+        generation: known.generation.map(|generation| generation.0),
+        wants_vms: known.wants_vms,
+        known_home: text(known.last_move.map(|(home, _)| home)),
+        known_move: known.last_move.map_or(0, |(_, number)| number),
     };
     let mut request = Request::new(message);
     request.set_timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS));
@@ -61,6 +73,7 @@
         generation: reply.generation.map(Generation),
         snapshot: reply.snapshot.and_then(|text| serde_json::from_str(&text).ok()),
         moved: moved.collect(),
+        last_move: reply.last_move,
         draining: reply.draining,
         vms: reply.vms.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or_default(),
     })
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
     channels::Channels,
     clock::{Clock, unix_ms},
     configuration::{Configuration, Source},
-    exchange::{News, ask_peer},
+    exchange::{Known, News, ask_peer},
     listener::{ListenError, RpcListener},
     members::Members,
 };
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -17,7 +17,7 @@
 use parking_lot::Mutex;
 use rand::seq::SliceRandom as _;
 
-use crate::{Channels, Clock, ask_peer};
+use crate::{Channels, Clock, Known, ask_peer};
 
 const POLL_MS: u64 = 1_000;
 
@@ -113,8 +113,9 @@
         if self.listed() {
             return;
         }
+        let known = Known { wants_vms: true, ..Known::default() };
         for seed in seeds {
-            if let Some(news) = ask_peer(channels, *seed, None, None, true).await
+            if let Some(news) = ask_peer(channels, *seed, known).await
                 && !news.vms.is_empty()
             {
                 return self.apply(&news.vms);
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -23,6 +23,8 @@
 struct State {
     scheduler: Scheduler,
     homes: Homes,
+    /// Whether the list of VMs was seen, so that the targets are known.
+    ready: bool,
 }
 
 /// The scheduler with the homes that it serves.
@@ -34,16 +36,24 @@
 
 impl Core {
     pub(crate) fn new(options: Options, clock: Clock) -> Self {
-        let state = State { scheduler: Scheduler::new(options), homes: Homes::default() };
+        let scheduler = Scheduler::new(options);
+        let state = State { scheduler, homes: Homes::default(), ready: false };
         Core { clock, metrics: DispatchMetrics::new(), state: Mutex::new(state) }
     }
 
-    pub(crate) fn connect(&self, outbox: Arc<Outbox>) -> StreamId {
+    /// Takes a home, unless the targets are not known yet: a dispatcher that has just
+    /// booted must not turn work away that the one before it could place.
+    pub(crate) fn connect(&self, outbox: Arc<Outbox>) -> Option<StreamId> {
         let now_ms = self.clock.now_ms();
-        let stream = self.state.lock().homes.connect(Arc::clone(&outbox), now_ms);
+        let mut state = self.state.lock();
+        if !state.ready {
+            return None;
+        }
+        let stream = state.homes.connect(outbox, now_ms);
+        drop(state);
         log_event!(info, HomeConnected, stream = stream.0);
         self.push_loads();
-        stream
+        Some(stream)
     }
 
     pub(crate) fn disconnect(&self, stream: StreamId) {
@@ -114,6 +124,7 @@
         for target in staying {
             state.scheduler.insert_target(target.clone(), now_ms);
         }
+        state.ready = true;
         self.assign(&mut state);
     }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -31,7 +31,9 @@
         request: Request<Streaming<HomeBatch>>,
     ) -> Result<Response<Batches>, Status> {
         let (outbox, woken) = Outbox::new();
-        let stream = self.core.connect(Arc::clone(&outbox));
+        let connected = self.core.connect(Arc::clone(&outbox));
+        let stream =
+            connected.ok_or_else(|| Status::unavailable("the list of VMs was not seen yet"))?;
         task::spawn(read_batches(Arc::clone(&self.core), stream, request.into_inner()));
         let core = Arc::clone(&self.core);
         let guard = Disconnect { core: Arc::clone(&core), stream };
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -78,7 +78,8 @@
             let refusal = Refusal { reason: RefusalReason::NoTargets, retry_after_ms: Some(500) };
             return self.stop(job, refusal);
         }
-        for _ in 0..job.state.lock().progress.waiting() {
+        let waiting = job.state.lock().progress.waiting();
+        for _ in 0..waiting {
             let target = self.choose(&targets);
             self.use_lease(job, Lease { link: NO_LINK, epoch: 0, id: 0, target });
         }
--- a/crates/entry/src/moved.rs
+++ b/crates/entry/src/moved.rs
@@ -7,7 +7,6 @@
 use parking_lot::RwLock;
 
 const KEEP_MS: u64 = 3_600_000;
-const FRESH_MS: u64 = 30_000;
 const MOST_HOMES: usize = 4_096;
 
 #[derive(Debug)]
@@ -15,31 +14,60 @@
     home: HomeId,
     holders: Vec<SocketAddr>,
     learned_ms: u64,
+    /// Position in the order in which this process learned of moves.
+    number: u64,
     table: Option<SealedTable>,
 }
 
-/// Homes that drained, sorted by home.
+/// What a peer has not been told yet.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MovedNews {
+    pub(crate) moves: Vec<(HomeId, Vec<SocketAddr>)>,
+    /// The number of the last move told.
+    pub(crate) last: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sorted by home.
+    homes: Vec<Moved>,
+    last_number: u64,
+}
+
+/// Homes that drained.
 #[derive(Debug, Default)]
 pub(crate) struct MovedHomes {
-    homes: RwLock<Vec<Moved>>,
+    state: RwLock<State>,
+}
+
+impl State {
+    const fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    fn position(&self, home: HomeId) -> Result<usize, usize> {
+        self.homes.binary_search_by_key(&home, |moved| moved.home)
+    }
 }
 
 impl MovedHomes {
-    /// Records who holds the sealed table of a home; returns whether that is news.
-    pub(crate) fn learn(&self, home: HomeId, holders: &[SocketAddr], now_ms: u64) -> bool {
-        let mut homes = self.homes.write();
-        match homes.binary_search_by_key(&home, |moved| moved.home) {
-            Ok(at) if homes[at].holders.is_empty() && !holders.is_empty() => {
-                homes[at].holders = holders.to_vec();
-                homes[at].learned_ms = now_ms;
-                true
+    /// Records who holds the sealed table of a home.
+    pub(crate) fn learn(&self, home: HomeId, holders: &[SocketAddr], now_ms: u64) {
+        let mut state = self.state.write();
+        let holders = holders.to_vec();
+        match state.position(home) {
+            Ok(at) if state.homes[at].holders.is_empty() && !holders.is_empty() => {
+                let number = state.next_number();
+                let moved = &mut state.homes[at];
+                (moved.holders, moved.number, moved.learned_ms) = (holders, number, now_ms);
             }
-            Ok(_) => false,
-            Err(_) if homes.len() >= MOST_HOMES => false,
+            Ok(_) => {}
+            Err(_) if state.homes.len() >= MOST_HOMES => {}
             Err(at) => {
-                let holders = holders.to_vec();
-                homes.insert(at, Moved { home, holders, learned_ms: now_ms, table: None });
-                true
+                let number = state.next_number();
+                let moved = Moved { home, holders, learned_ms: now_ms, number, table: None };
+                state.homes.insert(at, moved);
             }
         }
     }
@@ -50,9 +78,9 @@
         if part.sessions() == 0 {
             return;
         }
-        let mut homes = self.homes.write();
-        let Ok(at) = homes.binary_search_by_key(&part.home(), |moved| moved.home) else { return };
-        match &mut homes[at].table {
+        let mut state = self.state.write();
+        let Ok(at) = state.position(part.home()) else { return };
+        match &mut state.homes[at].table {
             Some(table) => table.merge(part),
             none => *none = Some(part),
         }
@@ -60,32 +88,38 @@
 
     /// Returns what the sealed table of a session's home says, if it is kept here.
     pub(crate) fn lookup(&self, id: &SessionId, sequence: Sequence) -> Option<Lookup> {
-        let homes = self.homes.read();
-        let at = homes.binary_search_by_key(&id.home, |moved| moved.home).ok()?;
-        Some(homes[at].table.as_ref()?.lookup(id, sequence))
+        let state = self.state.read();
+        let at = state.position(id.home).ok()?;
+        Some(state.homes[at].table.as_ref()?.lookup(id, sequence))
     }
 
     /// Returns who holds the sealed table of a home.
     pub(crate) fn holders(&self, home: HomeId) -> Option<Vec<SocketAddr>> {
-        let homes = self.homes.read();
-        let at = homes.binary_search_by_key(&home, |moved| moved.home).ok()?;
-        Some(homes[at].holders.clone())
+        let state = self.state.read();
+        let at = state.position(home).ok()?;
+        Some(state.homes[at].holders.clone())
     }
 
-    /// Returns what was learned lately, or all of it.
-    pub(crate) fn news(&self, all: bool, now_ms: u64) -> Vec<(HomeId, Vec<SocketAddr>)> {
-        let homes = self.homes.read();
-        let fresh = homes.iter().filter(|m| all || now_ms - m.learned_ms.min(now_ms) < FRESH_MS);
-        fresh.map(|moved| (moved.home, moved.holders.clone())).collect()
+    /// Returns the moves learned after the one numbered `after`.
+    ///
+    /// A peer names the last move that it has had, so that news survives a cut of
+    /// any length and is sent to each peer once.
+    pub(crate) fn news(&self, after: u64) -> MovedNews {
+        let state = self.state.read();
+        let fresh = state.homes.iter().filter(|moved| moved.number > after);
+        MovedNews {
+            moves: fresh.map(|moved| (moved.home, moved.holders.clone())).collect(),
+            last: state.last_number,
+        }
     }
 
     /// Forgets homes that drained long ago.
     pub(crate) fn evict(&self, now_ms: u64) {
-        self.homes.write().retain(|moved| now_ms.saturating_sub(moved.learned_ms) < KEEP_MS);
+        self.state.write().homes.retain(|moved| now_ms.saturating_sub(moved.learned_ms) < KEEP_MS);
     }
 
     /// Returns the number of homes whose tables are kept here.
     pub(crate) fn tables(&self) -> usize {
-        self.homes.read().iter().filter(|moved| moved.table.is_some()).count()
+        self.state.read().homes.iter().filter(|moved| moved.table.is_some()).count()
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,14 +4,38 @@
 
 use async_std::task;
 use futures::future::join_all;
-use ggb_control::{Channels, Clock, Configuration, Members, Source, ask_peer};
+use ggb_control::{Channels, Clock, Configuration, Known, Members, Source, ask_peer};
 use ggb_model::HomeId;
+use parking_lot::Mutex;
 
 use crate::moved::MovedHomes;
 
 const EXCHANGE_MS: u64 = 1_000;
 const PEERS_PER_EXCHANGE: usize = 3;
 
+/// The last move that was had from each peer.
+#[derive(Debug, Default)]
+pub(crate) struct HeardMoves {
+    /// Sorted by address.
+    peers: Mutex<Vec<(SocketAddr, HomeId, u64)>>,
+}
+
+impl HeardMoves {
+    fn last_move(&self, peer: SocketAddr) -> Option<(HomeId, u64)> {
+        let peers = self.peers.lock();
+        let at = peers.binary_search_by_key(&peer, |(addr, ..)| *addr).ok()?;
+        Some((peers[at].1, peers[at].2))
+    }
+
+    fn record(&self, peer: SocketAddr, home: HomeId, last_move: u64) {
+        let mut peers = self.peers.lock();
+        match peers.binary_search_by_key(&peer, |(addr, ..)| *addr) {
+            Ok(at) => peers[at] = (peer, home, last_move),
+            Err(at) => peers.insert(at, (peer, home, last_move)),
+        }
+    }
+}
+
 /// Asks the other entry processes for news.
 pub(crate) struct Peers {
     pub(crate) own: HomeId,
@@ -21,6 +45,7 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) moved: Arc<MovedHomes>,
     pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) heard: HeardMoves,
 }
 
 impl Peers {
@@ -54,14 +79,19 @@
     }
 
     async fn ask_one(&self, peer: SocketAddr) {
-        let generation = self.configuration.generation();
-        let asked = ask_peer(&self.channels, peer, Some(self.own), generation, false).await;
-        let Some(news) = asked else { return };
+        let known = Known {
+            own: Some(self.own),
+            generation: self.configuration.generation(),
+            last_move: self.heard.last_move(peer),
+            wants_vms: false,
+        };
+        let Some(news) = ask_peer(&self.channels, peer, known).await else { return };
         if let Some(snapshot) = news.snapshot {
             self.configuration.offer(snapshot, Source::Peer(peer));
         }
         for (home, holders) in &news.moved {
             self.moved.learn(*home, holders, self.clock.now_ms());
         }
+        self.heard.record(peer, news.home, news.last_move);
     }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -21,7 +21,7 @@
     link::LinkSink,
     links::Links,
     moved::MovedHomes,
-    peers::Peers,
+    peers::{HeardMoves, Peers},
     reports::Reports,
     router::Router,
     rpc::PeerService,
@@ -96,6 +96,7 @@
             configuration: Arc::clone(&configuration),
             moved: Arc::clone(&moved),
             seeds: settings.seeds.clone(),
+            heard: HeardMoves::default(),
         });
         let router = Arc::new(Router::new(
             Arc::clone(&home),
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -64,8 +64,9 @@
         let newer = snapshot.as_ref().filter(|snapshot| {
             message.generation.is_none_or(|known| known < snapshot.generation().0)
         });
-        let news = self.moved.news(message.generation.is_none(), self.clock.now_ms());
-        let moved = news.iter().map(|(home, holders)| Moved {
+        let asked_before = message.known_home == self.home.id.to_string();
+        let news = self.moved.news(if asked_before { message.known_move } else { 0 });
+        let moved = news.moves.iter().map(|(home, holders)| Moved {
             home: home.to_string(),
             holders: holders.iter().map(SocketAddr::to_string).collect(),
         });
@@ -77,6 +78,7 @@
             moved: moved.collect(),
             draining: self.home.is_draining(),
             vms: message.wants_vms.then(|| self.vms()).flatten(),
+            last_move: news.last,
         }))
     }
 
--- /dev/null
+++ b/crates/greengagebeam/src/bin/ggb-load.rs
@@ -0,0 +1,117 @@
+//! Measures deployments.
+
+use std::{fs, path::PathBuf};
+
+use bpaf::Bpaf;
+use ggb_load::{
+    Deployment, LoadError, Results, WORKLOADS, Workload, draw_timeline, measure_scheduler,
+    measure_sessions, render_report, run,
+};
+use greengagebeam::{ExitCode, exit_with};
+
+/// Submits named workloads open-loop and reports what they show
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Run a workload against one deployment, or side by side against several
+    #[bpaf(command)]
+    Run {
+        /// The workload: half-load, crest, blocking, saturday-rush or before-the-bell
+        #[bpaf(long, argument("NAME"))]
+        workload: String,
+        /// The seed; the same seed submits the same jobs
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Where to write a plot of busy slots over time
+        #[bpaf(long, argument("FILE"))]
+        plot: Option<PathBuf>,
+        /// Where to write the report, besides standard output
+        #[bpaf(long, argument("FILE"))]
+        report: Option<PathBuf>,
+        /// Deployments, as JSON files that bench/up writes
+        #[bpaf(positional("DEPLOYMENT"), some("expected at least one deployment"))]
+        deployments: Vec<PathBuf>,
+    },
+    /// Open idle sessions and show what each costs its home
+    #[bpaf(command)]
+    Sessions {
+        /// How many
+        #[bpaf(long, argument("N"), fallback(50_000), display_fallback)]
+        count: usize,
+        /// The deployment
+        #[bpaf(positional("DEPLOYMENT"))]
+        deployment: PathBuf,
+    },
+    /// Drive the scheduler of a dispatcher alone and show what a start costs
+    #[bpaf(command)]
+    Scheduler {
+        /// The seed
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Starts to measure
+        #[bpaf(long, argument("N"), fallback(300_000), display_fallback)]
+        starts: u64,
+        /// Numbers of targets
+        #[bpaf(positional("TARGETS"), some("expected at least one number of targets"))]
+        targets: Vec<u32>,
+    },
+}
+
+#[async_std::main]
+async fn main() {
+    let done = match command().run() {
+        Command::Run { workload, seed, plot, report, deployments } => {
+            let Some(workload) = Workload::named(&workload) else {
+                let message = format!("workload: got `{workload}`, expected one of {WORKLOADS:?}");
+                exit_with(ExitCode::BadSettings, message)
+            };
+            run_all(&deployments, &workload, seed, plot, report).await
+        }
+        Command::Sessions { count, deployment } => sessions(&deployment, count).await,
+        Command::Scheduler { seed, starts, targets } => {
+            println!(
+                "| targets | starts | us for each start | us for a refresh |\n|---|---|---|---|"
+            );
+            for targets in targets {
+                let cost = measure_scheduler(targets, starts, seed);
+                println!(
+                    "| {} | {} | {:.2} | {:.0} |",
+                    cost.targets, cost.starts, cost.us_each, cost.refresh_us
+                );
+            }
+            Ok(())
+        }
+    };
+    if let Err(error) = done {
+        exit_with(ExitCode::Failed, error);
+    }
+}
+
+async fn run_all(
+    deployments: &[PathBuf],
+    workload: &Workload,
+    seed: u64,
+    plot: Option<PathBuf>,
+    report: Option<PathBuf>,
+) -> Result<(), LoadError> {
+    let mut results: Vec<Results> = Vec::new();
+    for path in deployments {
+        results.push(run(&Deployment::read(path)?, workload, seed).await?);
+    }
+    let text = render_report(&results);
+    println!("{text}");
+    if let Some(path) = report {
+        fs::write(&path, &text)
+            .unwrap_or_else(|error| exit_with(ExitCode::Failed, format!("report: {error}")));
+    }
+    match plot {
+        Some(path) => draw_timeline(&results, &path),
+        None => Ok(()),
+    }
+}
+
+async fn sessions(deployment: &std::path::Path, count: usize) -> Result<(), LoadError> {
+    let cost = measure_sessions(&Deployment::read(deployment)?, count).await?;
+    println!("{} sessions, {:.0} bytes each", cost.sessions, cost.bytes_each);
+    Ok(())
+}
--- a/crates/greengagebeam/src/bin/ggb-standin.rs
+++ b/crates/greengagebeam/src/bin/ggb-standin.rs
@@ -51,6 +51,9 @@
         /// The platform on whose list they are put
         #[bpaf(long, argument("ADDR"))]
         platform: Option<SocketAddr>,
+        /// The port under which the first one is listed, if a relay stands in front
+        #[bpaf(long, argument("PORT"))]
+        listed_port: Option<u16>,
         /// Where to write what they start
         #[bpaf(long, argument("FILE"))]
         log: Option<std::path::PathBuf>,
@@ -97,7 +100,17 @@
             let _platform = platform.unwrap_or_else(|error| fail(format!("{error:?}")));
             stop.recv().await.ok();
         }
-        Command::Targets { listen, zone, count, slots, mode, broken, platform, log } => {
+        Command::Targets {
+            listen,
+            zone,
+            count,
+            slots,
+            mode,
+            broken,
+            platform,
+            listed_port,
+            log,
+        } => {
             let mut targets = Vec::new();
             for at in 0..count {
                 let addr = SocketAddr::new(listen.ip(), listen.port() + at);
@@ -107,7 +120,9 @@
                 targets.push(target.unwrap_or_else(|error| fail(format!("{error:?}"))));
             }
             if let Some(platform) = platform {
-                let vms = targets.iter().map(|t| vm(Role::Target, &zone, t.local_addr(), slots));
+                let first = listed_port.unwrap_or(listen.port());
+                let listed = (0..count).map(|at| SocketAddr::new(listen.ip(), first + at));
+                let vms = listed.map(|addr| vm(Role::Target, &zone, addr, slots));
                 list(platform, vms.collect()).await.unwrap_or_else(|error| fail(error));
             }
             stop.recv().await.ok();
--- a/crates/greengagebeam/tests/harness/mod.rs
+++ b/crates/greengagebeam/tests/harness/mod.rs
@@ -11,7 +11,7 @@
 use std::{
     fs,
     path::Path,
-    sync::{Condvar, Mutex},
+    sync::{Condvar, Mutex, PoisonError},
 };
 
 use self::{language::Script, steps::Runner};
@@ -39,9 +39,9 @@
 impl Turn {
     fn take() -> Self {
         let (running, changed) = &WORLDS;
-        let mut count = running.lock().unwrap();
+        let mut count = running.lock().unwrap_or_else(PoisonError::into_inner);
         while *count >= WORLDS_AT_ONCE {
-            count = changed.wait(count).unwrap();
+            count = changed.wait(count).unwrap_or_else(PoisonError::into_inner);
         }
         *count += 1;
         Turn
@@ -51,7 +51,7 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         let (running, changed) = &WORLDS;
-        *running.lock().unwrap() -= 1;
+        *running.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
         changed.notify_one();
     }
 }
--- a/crates/greengagebeam/tests/harness/steps.rs
+++ b/crates/greengagebeam/tests/harness/steps.rs
@@ -90,7 +90,7 @@
             "poll" => self.poll(step).await,
             "await-starts" => self.await_starts(step).await,
             "await-status" => self.await_status(step).await,
-            "kill" => Ok(self.world.member_mut(step.word(0)?)?.process.kill()),
+            "kill" => self.kill(step),
             "freeze" => self.world.member(step.word(0)?)?.process.signal(Signal::SIGSTOP),
             "thaw" => self.world.member(step.word(0)?)?.process.signal(Signal::SIGCONT),
             "restart" => self.world.member_mut(step.word(0)?)?.process.restart(),
@@ -98,9 +98,8 @@
             "await-exit" => self.await_exit(step).await,
             "cut" | "heal" => self.change_link(step),
             "table" => self.set_table(step),
-            "list" => Ok(self.world.platform.set_list_down(step.word(0)? == "down")),
-            "unlist" => Ok(self.world.platform.unlist_vm(self.world.member(step.word(0)?)?.addr())),
-            "relist" => self.relist(step),
+            "list" => self.set_list(step),
+            "unlist" | "relist" => self.change_list(step),
             "leave" => self.leave(step).await,
             "mode" => self.set_mode(step).await,
             "add" => self.add(step).await,
@@ -168,7 +167,7 @@
         let generation = head.unwrap_or_default();
         match step.words.as_slice() {
             [] => self.in_force_everywhere(generation).await,
-            names => self.in_force_at(generation, &names.to_vec()).await,
+            names => self.in_force_at(generation, names).await,
         }
     }
 
@@ -348,7 +347,7 @@
         let open: Vec<_> = open.map(|p| (p.via.clone(), p.submission.clone())).collect();
         self.during_drain.extend(open);
         match step.option("naive") {
-            Some(_) => Ok(self.world.member_mut(name)?.process.kill()),
+            Some(_) => self.kill(step),
             None => self.world.member(name)?.process.signal(Signal::SIGTERM),
         }
     }
@@ -399,9 +398,22 @@
         Ok(())
     }
 
-    fn relist(&mut self, step: &Step) -> Result<(), String> {
-        let vm = self.world.vm(self.world.member(step.word(0)?)?);
-        self.world.platform.list_vm(vm);
+    fn kill(&mut self, step: &Step) -> Result<(), String> {
+        self.world.member_mut(step.word(0)?)?.process.kill();
+        Ok(())
+    }
+
+    fn set_list(&mut self, step: &Step) -> Result<(), String> {
+        self.world.platform.set_list_down(step.word(0)? == "down");
+        Ok(())
+    }
+
+    fn change_list(&mut self, step: &Step) -> Result<(), String> {
+        let member = self.world.member(step.word(0)?)?;
+        match step.verb.as_str() {
+            "unlist" => self.world.platform.unlist_vm(member.addr()),
+            _ => self.world.platform.list_vm(self.world.vm(member)),
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/crates/load/src/error.rs
@@ -0,0 +1,23 @@
+//! Errors of the load tool.
+
+use std::fmt;
+
+/// A measurement that could not be made.
+#[derive(Debug)]
+pub struct LoadError {
+    message: String,
+}
+
+impl LoadError {
+    pub(crate) fn new(message: impl fmt::Display) -> Self {
+        LoadError { message: message.to_string() }
+    }
+}
+
+impl fmt::Display for LoadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for LoadError {}
