--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -99,6 +99,7 @@
         for job in batch.withdrawals {
             state.scheduler.withdraw(JobKey { stream, job });
         }
+        let demanded = !batch.demands.is_empty();
         for demand in batch.demands {
             let job = demand.job;
             let admission = state.scheduler.offer(read_demand(stream, demand)?, now_ms);
@@ -106,6 +107,10 @@
             home.outbox.wake();
         }
         self.assign(state);
+        if demanded && let Some(home) = state.homes.find(stream) {
+            // What a home asks next is split by this, also when nothing was granted.
+            home.outbox.set_loads(self.loads(&state.scheduler));
+        }
         Ok(())
     }
 
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -62,11 +62,11 @@
             let first_ms = job.start_within_ms.min(NO_DISPATCHER_MS);
             task::sleep(Duration::from_millis(first_ms.into())).await;
             if !home.links.any_connected() && home.placer == Placer::Leases {
-                home.stop_unbegun(&job, RefusalReason::NoTargets);
+                home.refuse_unstarted(&job, RefusalReason::NoTargets);
             }
             let rest_ms = job.start_within_ms - first_ms;
             task::sleep(Duration::from_millis(rest_ms.into())).await;
-            home.stop_unbegun(&job, RefusalReason::DeadlineUnreachable);
+            home.refuse_unstarted(&job, RefusalReason::DeadlineUnreachable);
         });
     }
 
@@ -98,11 +98,10 @@
         }
     }
 
-    fn stop_unbegun(&self, job: &Arc<Job>, reason: RefusalReason) {
-        if job.state.lock().progress.any_started() {
-            return;
-        }
-        self.stop(job, Refusal { reason, retry_after_ms: Some(1_000) });
+    fn refuse_unstarted(&self, job: &Arc<Job>, reason: RefusalReason) {
+        let refusal = Refusal { reason, retry_after_ms: Some(1_000) };
+        let outcome = job.state.lock().progress.refuse_unstarted(refusal);
+        outcome.into_iter().for_each(|outcome| self.finish(job, &outcome));
     }
 
     async fn run_task(self: Arc<Self>, job: Arc<Job>, sent: SentTask, placement: Placement) {
--- a/crates/entry/src/home.rs
+++ b/crates/entry/src/home.rs
@@ -28,8 +28,8 @@
     settings::Placer,
 };
 
-const RETRIES_PER_START: f64 = 0.1;
-const MOST_RETRIES: f64 = 500.0;
+const RETRIES_PER_THOUSAND_STARTS: u32 = 100;
+const MOST_RETRIES: u32 = 500;
 
 /// Whether this process may start work.
 enum Authority {
@@ -84,7 +84,7 @@
             members: parts.members,
             links: parts.links,
             targets: parts.targets,
-            retries: Mutex::new(RetryBudget::new(RETRIES_PER_START, MOST_RETRIES)),
+            retries: Mutex::new(RetryBudget::new(RETRIES_PER_THOUSAND_STARTS, MOST_RETRIES)),
             placer: parts.placer,
             reports: parts.reports,
             own: Weak::clone(own),
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -86,9 +86,10 @@
             scheduler.offer(demand(job, &mut rng), now_ms);
         }
         scheduler.assign(now_ms, &mut rng, &mut grants);
+        let full = grants.is_empty();
         granted += grants.len() as u64;
         held.append(&mut grants);
-        if scheduler.stats().free_slots == 0 {
+        if full {
             now_ms += 1;
             for _ in 0..PART_TASKS.min(held.len() as u16) {
                 let at = rng.random_range(0..held.len());
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -217,11 +217,13 @@
 fn blocking() -> Workload {
     let short =
         Class { run_ms: (50.0, 50.0), mean_tasks: 4.0, ..class("short", Priority::Standard, 0.5) };
-    let mixed = Class { stretched: 0.05, ..class("mixed", Priority::Standard, 0.5) };
+    let mut mixed =
+        Class { stretched: 0.05, run_ms: (50.0, 200.0), ..class("mixed", Priority::Standard, 0.5) };
+    mixed.settings.task_timeout_ms = 120_000;
     Workload {
         name: "blocking",
         classes: vec![short, mixed],
-        phases: vec![phase("warm-up", 10.0, 0.8, 0.8), phase("steady", 25.0, 0.8, 0.8)],
+        phases: vec![phase("warm-up", 20.0, 0.8, 0.8), phase("steady", 25.0, 0.8, 0.8)],
     }
 }
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,29 +1,33 @@
 //! A budget for placing tasks again.
 
+const TOKENS_PER_RETRY: u32 = 1_000;
+
 /// Allows retries as a share of first tries, so that they can't feed on themselves.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    tokens: f64,
-    per_try: f64,
-    most: f64,
+    tokens: u32,
+    tokens_per_try: u32,
+    most_tokens: u32,
 }
 
 impl RetryBudget {
-    /// Returns a budget that earns `per_try` retries with each first try, up to `most`.
-    pub const fn new(per_try: f64, most: f64) -> Self {
-        RetryBudget { tokens: most, per_try, most }
+    /// Returns a full budget of `most` retries that earns `per_thousand` retries with
+    /// every thousand first tries.
+    pub const fn new(per_thousand: u32, most: u32) -> Self {
+        let most_tokens = most * TOKENS_PER_RETRY;
+        RetryBudget { tokens: most_tokens, tokens_per_try: per_thousand, most_tokens }
     }
 
     /// Records a first try.
-    pub const fn earn(&mut self) {
-        self.tokens = (self.tokens + self.per_try).min(self.most);
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.tokens_per_try).min(self.most_tokens);
     }
 
     /// Spends one retry; returns whether there was one.
-    pub fn spend(&mut self) -> bool {
-        let allowed = self.tokens >= 1.0;
+    pub const fn spend(&mut self) -> bool {
+        let allowed = self.tokens >= TOKENS_PER_RETRY;
         if allowed {
-            self.tokens -= 1.0;
+            self.tokens -= TOKENS_PER_RETRY;
         }
         allowed
     }
--- a/crates/session/src/progress.rs
+++ b/crates/session/src/progress.rs
@@ -106,14 +106,21 @@
 
     /// Ends the job early: it is refused if nothing was started, and failed otherwise.
     pub fn stop(&mut self, refusal: Refusal) -> Option<Outcome> {
-        let started = self.tasks.iter().any(|task| !matches!(task, Task::Waiting));
-        if started {
+        if self.any_started() {
             return self.end();
         }
         self.close()?;
         Some(Outcome::NotRun(refusal))
     }
 
+    /// Refuses the job if none of its tasks was sent; otherwise it goes on.
+    pub fn refuse_unstarted(&mut self, refusal: Refusal) -> Option<Outcome> {
+        match self.any_started() {
+            true => None,
+            false => self.stop(refusal),
+        }
+    }
+
     /// Returns how many tasks wait for a target.
     pub const fn waiting(&self) -> usize {
         self.waiting.len()
