Wide tasks are not starved; long functions split; deadlines end with their job

A task that finds no room for 500 ms has a target held back for it: under a steady flow of narrow tasks a wide one waited for ever (test wide_task_is_not_starved, which fails without the change). The deadline's timer kept a finished job in memory for up to start_within_ms; it ends with the job now.

--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use ggb_membership::Role;
 use ggb_model::{AttemptToken, Outcome, Refusal, RefusalReason, TaskFault};
 use ggb_platform::{CancelRequest, Denial, StartEnd, StartError, StartReply, StartRequest};
@@ -60,12 +60,15 @@
         let (home, job) = (Arc::clone(self), Arc::clone(job));
         task::spawn(async move {
             let first_ms = job.start_within_ms.min(NO_DISPATCHER_MS);
-            task::sleep(Duration::from_millis(first_ms.into())).await;
+            if ends_within(&job, first_ms).await {
+                return;
+            }
             if !home.links.any_connected() && home.placer == Placer::Leases {
                 home.refuse_unstarted(&job, RefusalReason::NoTargets);
             }
-            let rest_ms = job.start_within_ms - first_ms;
-            task::sleep(Duration::from_millis(rest_ms.into())).await;
+            if ends_within(&job, job.start_within_ms - first_ms).await {
+                return;
+            }
             home.refuse_unstarted(&job, RefusalReason::DeadlineUnreachable);
         });
     }
@@ -231,3 +234,8 @@
         }
     }
 }
+
+/// Waits for the end of a job, at most for `limit_ms`; returns whether it came.
+async fn ends_within(job: &Job, limit_ms: u32) -> bool {
+    timeout(Duration::from_millis(limit_ms.into()), job.done().recv()).await.is_ok()
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,13 +1,13 @@
 //! A running entry process.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_std::task;
 use error_stack::{Report, ResultExt as _};
 use ggb_control::{Channels, Clock, Configuration, Members, RpcListener};
 use ggb_http::{ClientLimits, HttpClient, HttpServer, ServerLimits};
 use ggb_model::{HomeId, Incarnation};
-use ggb_platform::{ClaimStore, HttpTable, HttpTargets, HttpVmList, ProfileStore, Table};
+use ggb_platform::{ClaimStore, HttpTable, HttpTargets, HttpVmList, ProfileStore, Table, Targets};
 use ggb_session::SessionTable;
 use ggb_telemetry::{Gauges, OperatorServer, Phase, StatusSource, log_event};
 use ggb_wire::v1::peer_server::PeerServer;
@@ -60,103 +60,31 @@
     ///
     /// Fails if an address can't be bound.
     pub async fn spawn(settings: EntrySettings) -> Result<Self, Report<SpawnError>> {
-        let clock = Clock::start();
         let listener = RpcListener::bind(settings.rpc_listen).change_context(SpawnError)?;
         let rpc_addr = settings.rpc_advertise.unwrap_or(listener.local_addr());
         let id = HomeId::new(rpc_addr, Incarnation(rand::random()));
-
-        let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
-        let client = Arc::new(HttpClient::new(limits));
-        let channels = Arc::new(Channels::new(settings.source_ip));
-        let table: Arc<dyn Table> =
-            Arc::new(HttpTable::new(settings.platform, Arc::clone(&client)));
-        let configuration = Configuration::spawn(ProfileStore::new(Arc::clone(&table)));
-        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
-        let members = Members::spawn(list, Arc::clone(&channels), settings.seeds.clone(), clock);
-        let links = Arc::new(Links::new(settings.zone.clone()));
-        let reports = Arc::new(Reports::default());
-        let targets = Arc::new(HttpTargets::new(client));
-        let home = Home::new(HomeParts {
-            table: SessionTable::new(id, settings.limits.clone()),
-            clock,
-            configuration: Arc::clone(&configuration),
-            members: Arc::clone(&members),
-            links: Arc::clone(&links),
-            targets: Arc::clone(&targets) as _,
-            claims: ClaimStore::new(table),
-            placer: settings.placer,
-            reports: Arc::clone(&reports),
-        });
+        let outside = Outside::new(&settings);
+        let home = outside.home(id, &settings);
         let moved = Arc::new(MovedHomes::default());
-        let peers = Arc::new(Peers {
-            own: id,
-            clock,
-            channels: Arc::clone(&channels),
-            members: Arc::clone(&members),
-            configuration: Arc::clone(&configuration),
-            moved: Arc::clone(&moved),
-            seeds: settings.seeds.clone(),
-            heard: HeardMoves::default(),
-        });
+        let peers = Arc::new(outside.peers(id, Arc::clone(&moved), &settings));
         let router = Arc::new(Router::new(
             Arc::clone(&home),
             Arc::clone(&moved),
             Arc::clone(&peers),
-            Arc::clone(&channels),
+            Arc::clone(&outside.channels),
         ));
-        let service = PeerService {
-            home: Arc::clone(&home),
-            zone: settings.zone.clone(),
-            clock,
-            router: Arc::clone(&router),
-            moved: Arc::clone(&moved),
-            configuration: Arc::clone(&configuration),
-            members: Arc::clone(&members),
-        };
-        let service = PeerServer::new(service)
-            .max_decoding_message_size(MESSAGE_BYTES)
-            .max_encoding_message_size(MESSAGE_BYTES);
-        let incoming = listener.into_incoming().change_context(SpawnError)?;
-        task::spawn(Server::builder().add_service(service).serve_with_incoming(incoming));
-
-        let status = EntryStatus {
-            home: Arc::clone(&home),
-            configuration: Arc::clone(&configuration),
-            members: Arc::clone(&members),
-            links: Arc::clone(&links),
-            moved: Arc::clone(&moved),
-        };
-        let operator = OperatorServer::bind(settings.operator_listen, Arc::new(status));
-        let operator = operator.await.change_context(SpawnError)?;
-        let api = Arc::new(CallerApi {
-            home: Arc::clone(&home),
-            router,
-            body_bytes: settings.body_bytes,
-        });
-        let server_limits = ServerLimits { connections: settings.connections };
-        let handler = move |request| {
-            let api = Arc::clone(&api);
-            async move { api.respond(request).await }
-        };
-        let http = HttpServer::bind(settings.http_listen, server_limits, handler);
-        let http = http.await.change_context(SpawnError)?;
-
-        let sink: Arc<dyn LinkSink> = Arc::clone(&home) as _;
-        match settings.placer {
-            Placer::Leases => {
-                let sink = Arc::downgrade(&sink);
-                task::spawn(links.follow(members, Arc::clone(&channels), sink));
-            }
-            Placer::TwoChoices => drop(task::spawn(reports.follow(members, targets))),
-            Placer::Random => {}
-        }
+        let service = outside.peer_service(&home, &router, &moved, &settings);
+        serve_peers(service, listener).change_context(SpawnError)?;
+        let operator = outside.serve_operators(&home, &moved, &settings).await?;
+        let http = serve_callers(&home, router, &settings).await?;
+        outside.spawn_placement(&home, settings.placer);
         task::spawn(Arc::clone(&peers).follow());
         task::spawn(evict(Arc::clone(&home)));
         log_event!(
             info, Started, role = "entry", home = %id, http = %http.local_addr(),
             operator = %operator.local_addr()
         );
-        Ok(Entry { home, peers, moved, channels, http, operator })
+        Ok(Entry { home, peers, moved, channels: outside.channels, http, operator })
     }
 
     /// Returns the address where callers connect.
@@ -182,6 +110,145 @@
     }
 }
 
+/// What the process knows and uses of the world outside.
+struct Outside {
+    clock: Clock,
+    channels: Arc<Channels>,
+    table: Arc<dyn Table>,
+    targets: Arc<dyn Targets>,
+    configuration: Arc<Configuration>,
+    members: Arc<Members>,
+    links: Arc<Links>,
+    reports: Arc<Reports>,
+}
+
+impl Outside {
+    fn new(settings: &EntrySettings) -> Self {
+        let clock = Clock::start();
+        let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
+        let client = Arc::new(HttpClient::new(limits));
+        let channels = Arc::new(Channels::new(settings.source_ip));
+        let table: Arc<dyn Table> =
+            Arc::new(HttpTable::new(settings.platform, Arc::clone(&client)));
+        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
+        let members = Members::spawn(list, Arc::clone(&channels), settings.seeds.clone(), clock);
+        Outside {
+            clock,
+            configuration: Configuration::spawn(ProfileStore::new(Arc::clone(&table))),
+            targets: Arc::new(HttpTargets::new(client)),
+            links: Arc::new(Links::new(settings.zone.clone())),
+            reports: Arc::default(),
+            channels,
+            table,
+            members,
+        }
+    }
+
+    fn home(&self, id: HomeId, settings: &EntrySettings) -> Arc<Home> {
+        Home::new(HomeParts {
+            table: SessionTable::new(id, settings.limits.clone()),
+            clock: self.clock,
+            configuration: Arc::clone(&self.configuration),
+            members: Arc::clone(&self.members),
+            links: Arc::clone(&self.links),
+            targets: Arc::clone(&self.targets),
+            claims: ClaimStore::new(Arc::clone(&self.table)),
+            placer: settings.placer,
+            reports: Arc::clone(&self.reports),
+        })
+    }
+
+    fn peers(&self, own: HomeId, moved: Arc<MovedHomes>, settings: &EntrySettings) -> Peers {
+        Peers {
+            own,
+            clock: self.clock,
+            channels: Arc::clone(&self.channels),
+            members: Arc::clone(&self.members),
+            configuration: Arc::clone(&self.configuration),
+            moved,
+            seeds: settings.seeds.clone(),
+            heard: HeardMoves::default(),
+        }
+    }
+
+    fn peer_service(
+        &self,
+        home: &Arc<Home>,
+        router: &Arc<Router>,
+        moved: &Arc<MovedHomes>,
+        settings: &EntrySettings,
+    ) -> PeerService {
+        PeerService {
+            home: Arc::clone(home),
+            zone: settings.zone.clone(),
+            clock: self.clock,
+            router: Arc::clone(router),
+            moved: Arc::clone(moved),
+            configuration: Arc::clone(&self.configuration),
+            members: Arc::clone(&self.members),
+        }
+    }
+
+    async fn serve_operators(
+        &self,
+        home: &Arc<Home>,
+        moved: &Arc<MovedHomes>,
+        settings: &EntrySettings,
+    ) -> Result<OperatorServer, Report<SpawnError>> {
+        let status = EntryStatus {
+            home: Arc::clone(home),
+            configuration: Arc::clone(&self.configuration),
+            members: Arc::clone(&self.members),
+            links: Arc::clone(&self.links),
+            moved: Arc::clone(moved),
+        };
+        let operator = OperatorServer::bind(settings.operator_listen, Arc::new(status));
+        operator.await.change_context(SpawnError)
+    }
+
+    fn spawn_placement(&self, home: &Arc<Home>, placer: Placer) {
+        let (members, channels) = (Arc::clone(&self.members), Arc::clone(&self.channels));
+        match placer {
+            Placer::Leases => {
+                let sink: Arc<dyn LinkSink> = Arc::clone(home) as _;
+                let follow =
+                    Arc::clone(&self.links).follow(members, channels, Arc::downgrade(&sink));
+                task::spawn(follow);
+            }
+            Placer::TwoChoices => {
+                let targets = Arc::clone(&self.targets);
+                task::spawn(Arc::clone(&self.reports).follow(members, targets));
+            }
+            Placer::Random => {}
+        }
+    }
+}
+
+fn serve_peers(service: PeerService, listener: RpcListener) -> io::Result<()> {
+    let service = PeerServer::new(service)
+        .max_decoding_message_size(MESSAGE_BYTES)
+        .max_encoding_message_size(MESSAGE_BYTES);
+    let incoming = listener.into_incoming()?;
+    task::spawn(Server::builder().add_service(service).serve_with_incoming(incoming));
+    Ok(())
+}
+
+async fn serve_callers(
+    home: &Arc<Home>,
+    router: Arc<Router>,
+    settings: &EntrySettings,
+) -> Result<HttpServer, Report<SpawnError>> {
+    let (home, body_bytes) = (Arc::clone(home), settings.body_bytes);
+    let api = Arc::new(CallerApi { home, router, body_bytes });
+    let handler = move |request| {
+        let api = Arc::clone(&api);
+        async move { api.respond(request).await }
+    };
+    let limits = ServerLimits { connections: settings.connections };
+    let http = HttpServer::bind(settings.http_listen, limits, handler);
+    http.await.change_context(SpawnError)
+}
+
 async fn evict(home: Arc<Home>) {
     loop {
         task::sleep(Duration::from_millis(EVICT_MS)).await;
--- a/crates/greengagebeam/src/bin/ggb-standin.rs
+++ b/crates/greengagebeam/src/bin/ggb-standin.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for the platform and for targets.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 use ggb_http::{ClientLimits, HttpClient};
@@ -56,7 +56,7 @@
         listed_port: Option<u16>,
         /// Where to write what they start
         #[bpaf(long, argument("FILE"))]
-        log: Option<std::path::PathBuf>,
+        log: Option<PathBuf>,
     },
     /// Puts processes on the platform's list of VMs
     #[bpaf(command)]
@@ -93,12 +93,11 @@
 async fn main() {
     let command = command().run();
     let stop = termination().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
-    let fail = |error: String| -> ! { exit_with(ExitCode::Failed, error) };
-    match command {
+    // What runs is kept until the process is asked to stop.
+    let (mut platforms, mut targets) = (Vec::new(), Vec::new());
+    let started = match command {
         Command::Platform { listen } => {
-            let platform = PlatformStandin::bind(listen).await;
-            let _platform = platform.unwrap_or_else(|error| fail(format!("{error:?}")));
-            stop.recv().await.ok();
+            start_platform(listen).await.map(|platform| platforms.push(platform))
         }
         Command::Targets {
             listen,
@@ -111,61 +110,96 @@
             listed_port,
             log,
         } => {
-            let mut targets = Vec::new();
-            for at in 0..count {
-                let addr = SocketAddr::new(listen.ip(), listen.port() + at);
-                let mode = if at < broken { TargetMode::FailAll } else { mode };
-                let options = TargetOptions { addr, slots, mode, log: log.clone() };
-                let target = TargetStandin::bind(options).await;
-                targets.push(target.unwrap_or_else(|error| fail(format!("{error:?}"))));
-            }
-            if let Some(platform) = platform {
-                let first = listed_port.unwrap_or(listen.port());
-                let listed = (0..count).map(|at| SocketAddr::new(listen.ip(), first + at));
-                let vms = listed.map(|addr| vm(Role::Target, &zone, addr, slots));
-                list(platform, vms.collect()).await.unwrap_or_else(|error| fail(error));
-            }
-            stop.recv().await.ok();
+            let group = TargetGroup { listen, zone, count, slots, mode, broken, listed_port, log };
+            group.start(platform).await.map(|started| targets = started)
         }
         Command::List { platform, role, zone, addrs } => {
-            let role = match role.as_str() {
-                "entry" => Role::Entry,
-                "dispatch" => Role::Dispatch,
-                _ => exit_with(
-                    ExitCode::BadSettings,
-                    format!("role: got `{role}`, expected `entry` or `dispatch`"),
-                ),
+            let done = list_processes(platform, &role, &zone, &addrs).await;
+            done.unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
+            return;
+        }
+        Command::Relay { delay_us, zones, links } => start_relay(delay_us, &zones, &links).await,
+    };
+    started.unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
+    stop.recv().await.ok();
+}
+
+async fn start_platform(listen: SocketAddr) -> Result<PlatformStandin, String> {
+    PlatformStandin::bind(listen).await.map_err(|error| format!("{error:?}"))
+}
+
+/// Targets at consecutive ports.
+struct TargetGroup {
+    listen: SocketAddr,
+    zone: Zone,
+    count: u16,
+    slots: u16,
+    mode: TargetMode,
+    broken: u16,
+    listed_port: Option<u16>,
+    log: Option<PathBuf>,
+}
+
+impl TargetGroup {
+    async fn start(&self, platform: Option<SocketAddr>) -> Result<Vec<TargetStandin>, String> {
+        let mut targets = Vec::new();
+        for at in 0..self.count {
+            let options = TargetOptions {
+                addr: SocketAddr::new(self.listen.ip(), self.listen.port() + at),
+                slots: self.slots,
+                mode: if at < self.broken { TargetMode::FailAll } else { self.mode },
+                log: self.log.clone(),
             };
-            let vms = addrs.iter().map(|addr| vm(role, &zone, *addr, 0)).collect();
-            list(platform, vms).await.unwrap_or_else(|error| fail(error));
+            let target = TargetStandin::bind(options).await;
+            targets.push(target.map_err(|error| format!("{error:?}"))?);
         }
-        Command::Relay { delay_us, zones, links } => {
-            let relay = Relay::default();
-            for (from, to) in zones.iter().flat_map(|a| zones.iter().map(move |b| (*a, *b))) {
-                if from != to {
-                    relay.add(LinkRule {
-                        from: Endpoints::Zone(from),
-                        to: Endpoints::Zone(to),
-                        effect: LinkEffect::Delay { delay_us },
-                    });
-                }
-            }
-            for link in links {
-                let pair = link.split_once('=').and_then(|(listen, upstream)| {
-                    Some((listen.parse().ok()?, upstream.parse().ok()?))
-                });
-                let Some((listen, upstream)) = pair else {
-                    let message = format!("link: got `{link}`, expected LISTEN=UPSTREAM");
-                    exit_with(ExitCode::BadSettings, message)
-                };
-                let bound = relay.bind(listen, upstream).await;
-                bound.unwrap_or_else(|error| fail(format!("{error:?}")));
-            }
-            stop.recv().await.ok();
+        if let Some(platform) = platform {
+            list(platform, self.listed()).await?;
         }
+        Ok(targets)
+    }
+
+    fn listed(&self) -> Vec<Vm> {
+        let first = self.listed_port.unwrap_or(self.listen.port());
+        let addrs = (0..self.count).map(|at| SocketAddr::new(self.listen.ip(), first + at));
+        addrs.map(|addr| vm(Role::Target, &self.zone, addr, self.slots)).collect()
     }
 }
 
+async fn list_processes(
+    platform: SocketAddr,
+    role: &str,
+    zone: &Zone,
+    addrs: &[SocketAddr],
+) -> Result<(), String> {
+    let role = match role {
+        "entry" => Role::Entry,
+        "dispatch" => Role::Dispatch,
+        _ => return Err(format!("role: got `{role}`, expected `entry` or `dispatch`")),
+    };
+    list(platform, addrs.iter().map(|addr| vm(role, zone, *addr, 0)).collect()).await
+}
+
+async fn start_relay(delay_us: u64, zones: &[u8], links: &[String]) -> Result<(), String> {
+    let relay = Relay::default();
+    let pairs = zones.iter().flat_map(|from| zones.iter().map(move |to| (*from, *to)));
+    for (from, to) in pairs.filter(|(from, to)| from != to) {
+        let (from, to) = (Endpoints::Zone(from), Endpoints::Zone(to));
+        relay.add(LinkRule { from, to, effect: LinkEffect::Delay { delay_us } });
+    }
+    for link in links {
+        let (listen, upstream) = read_link(link)?;
+        relay.bind(listen, upstream).await.map_err(|error| format!("{error:?}"))?;
+    }
+    Ok(())
+}
+
+fn read_link(link: &str) -> Result<(SocketAddr, SocketAddr), String> {
+    let expected = || format!("link: got `{link}`, expected LISTEN=UPSTREAM");
+    let (listen, upstream) = link.split_once('=').ok_or_else(expected)?;
+    Ok((listen.parse().map_err(|_| expected())?, upstream.parse().map_err(|_| expected())?))
+}
+
 fn vm(role: Role, zone: &Zone, addr: SocketAddr, slots: u16) -> Vm {
     Vm {
         role,
--- a/crates/greengagebeam/src/dispatch_args.rs
+++ b/crates/greengagebeam/src/dispatch_args.rs
@@ -67,8 +67,24 @@
         let platform = checked.reachable_addr("platform", &self.platform);
         let seeds = checked.addrs("seeds", &self.seeds);
         let source_ip = checked.ip("source-ip", self.source_ip.as_deref());
+        let options = self.options(&mut checked);
+        let settings = (|| {
+            Some(DispatchSettings {
+                zone: zone?,
+                rpc_listen: rpc_listen?,
+                operator_listen: operator_listen?,
+                platform: platform?,
+                seeds,
+                source_ip,
+                options,
+            })
+        })();
+        checked.finish(settings)
+    }
+
+    fn options(&self, checked: &mut Checked) -> Options {
         let share = "0 to 500 thousandths";
-        let options = Options {
+        Options {
             long_ms: checked.number("long-ms", &self.long_ms, 1..=3_600_000, "1 to 3600000 ms")
                 as u32,
             short_share: checked.number("short-share", &self.short_share, 0..=500, share) as f64
@@ -81,18 +97,6 @@
                 1..=10_000_000,
                 "1 to 10000000",
             ) as u32,
-        };
-        let settings = (|| {
-            Some(DispatchSettings {
-                zone: zone?,
-                rpc_listen: rpc_listen?,
-                operator_listen: operator_listen?,
-                platform: platform?,
-                seeds,
-                source_ip,
-                options,
-            })
-        })();
-        checked.finish(settings)
+        }
     }
 }
--- a/crates/greengagebeam/src/entry_args.rs
+++ b/crates/greengagebeam/src/entry_args.rs
@@ -96,24 +96,7 @@
         let connections = checked.number("connections", &self.connections, 1..=10_000_000, count);
         let placer: Option<Placer> =
             checked.value("placer", &self.placer, "`leases`, `random` or `two-choices`");
-        let limits = Limits {
-            sessions: checked.number("sessions", &self.sessions, 1..=10_000_000, count) as usize,
-            running_jobs: checked.number("running-jobs", &self.running_jobs, 1..=10_000_000, count)
-                as usize,
-            retained_bytes: checked.number(
-                "retained-bytes",
-                &self.retained_bytes,
-                1_024..=1 << 40,
-                "1024 bytes to 1 TiB",
-            ) as usize,
-            idle_ms: checked.number(
-                "session-idle-ms",
-                &self.session_idle_ms,
-                1_000..=604_800_000,
-                "1000 to 604800000 ms",
-            ),
-            ..Limits::default()
-        };
+        let limits = self.limits(&mut checked);
         let settings = (|| {
             Some(EntrySettings {
                 zone: zone?,
@@ -132,4 +115,26 @@
         })();
         checked.finish(settings)
     }
+
+    fn limits(&self, checked: &mut Checked) -> Limits {
+        let count = "1 to 10000000";
+        Limits {
+            sessions: checked.number("sessions", &self.sessions, 1..=10_000_000, count) as usize,
+            running_jobs: checked.number("running-jobs", &self.running_jobs, 1..=10_000_000, count)
+                as usize,
+            retained_bytes: checked.number(
+                "retained-bytes",
+                &self.retained_bytes,
+                1_024..=1 << 40,
+                "1024 bytes to 1 TiB",
+            ) as usize,
+            idle_ms: checked.number(
+                "session-idle-ms",
+                &self.session_idle_ms,
+                1_000..=604_800_000,
+                "1000 to 604800000 ms",
+            ),
+            ..Limits::default()
+        }
+    }
 }
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -66,6 +66,8 @@
     targets: Vec<Target>,
     /// Indices of usable targets, in no order.
     open: Vec<usize>,
+    /// The target that is held back for a wide task.
+    held_back: Option<SocketAddr>,
     total_slots: u32,
     used_slots: u32,
     ejected: usize,
@@ -168,6 +170,41 @@
         Some(addr)
     }
 
+    /// Holds back the target on which `shape` will fit soonest, so that narrow tasks
+    /// don't take what comes free there.
+    pub fn hold_back(&mut self, shape: &TaskShape) {
+        let large = self.open.iter().filter(|&&at| shape.fits(&self.targets[at].spec.capacity));
+        let freest = large.max_by_key(|&&at| self.targets[at].free_slots());
+        self.held_back = freest.map(|&at| self.targets[at].spec.addr);
+    }
+
+    /// Returns whether the target that is held back could still take a task.
+    pub fn held_back_is_usable(&self, now_ms: u64) -> bool {
+        let at = self.held_back.and_then(|addr| self.position(addr).ok());
+        at.is_some_and(|at| {
+            let target = &self.targets[at];
+            // A full target is what is waited for; only its other states count.
+            target.free_slots() == 0 || target.usable(now_ms)
+        })
+    }
+
+    /// Gives the target that is held back to all again.
+    pub const fn free_held_back(&mut self) {
+        self.held_back = None;
+    }
+
+    /// Occupies room on the target that is held back, if there is enough by now.
+    pub fn occupy_held_back(&mut self, shape: &TaskShape, now_ms: u64) -> Option<SocketAddr> {
+        let addr = self.held_back?;
+        let at = self.position(addr).ok()?;
+        if !self.targets[at].usable(now_ms) || !shape.fits(&self.targets[at].room()) {
+            return None;
+        }
+        self.take_room(at, shape);
+        self.reopen(at, now_ms);
+        Some(addr)
+    }
+
     /// Occupies room on a given target, for a lease that another dispatcher granted.
     pub fn occupy_at(&mut self, addr: SocketAddr, shape: &TaskShape, now_ms: u64) {
         if let Ok(at) = self.position(addr) {
@@ -251,7 +288,8 @@
         }
         let mut draw = || self.open[rng.random_range(0..self.open.len())];
         let (one, two) = (draw(), draw());
-        let fits = |at: usize| shape.fits(&self.targets[at].room());
+        let is_free = |at: usize| Some(self.targets[at].spec.addr) != self.held_back;
+        let fits = |at: usize| is_free(at) && shape.fits(&self.targets[at].room());
         let free = |at: usize| self.targets[at].free_slots();
         match (fits(one), fits(two)) {
             (true, true) if free(two) > free(one) => Some(two),
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -17,6 +17,8 @@
 const MEAN_RUN_WEIGHT: f64 = 0.02;
 const FIRST_MEAN_RUN_MS: f64 = 200.0;
 const LEAST_RETRY_AFTER_MS: u32 = 50;
+/// How long a wide task waits for room before a target is held back for it.
+const HOLD_BACK_AFTER_MS: u64 = 500;
 
 /// What an operator may tune in a dispatcher.
 #[derive(Clone, Debug)]
@@ -77,6 +79,8 @@
     reserve: UrgentReserve,
     long_slots: u32,
     mean_run_ms: f64,
+    /// The part for which a target is held back.
+    held_back_for: Option<JobKey>,
 }
 
 impl Scheduler {
@@ -92,6 +96,7 @@
             reserve: UrgentReserve::default(),
             long_slots: 0,
             mean_run_ms: FIRST_MEAN_RUN_MS,
+            held_back_for: None,
         }
     }
 
@@ -227,6 +232,9 @@
     /// Ends pauses and ejections whose time is over, and reclassifies tasks that outran their class.
     pub fn refresh(&mut self, now_ms: u64) {
         self.pool.refresh(now_ms);
+        if self.held_back_for.is_some() && !self.pool.held_back_is_usable(now_ms) {
+            self.free_held_back();
+        }
         let long_ms = u64::from(self.options.long_ms);
         for lease in self.leases.iter_mut() {
             if !lease.long && now_ms.saturating_sub(lease.granted_ms) >= long_ms {
@@ -314,9 +322,15 @@
         let mut free = self.pool.free_slots();
         let mut blocked: Vec<JobKey> = Vec::new();
         while self.pool.has_room() && free > kept {
-            let Some((place, key, shape)) = self.next_part(priority, &blocked) else { return };
-            let Some(target) = self.pool.occupy(&shape, now_ms, rng) else {
+            let Some(next) = self.next_part(priority, &blocked) else { return };
+            let Candidate { place, key, shape, arrived_ms } = next;
+            let Some(target) = self.occupy(key, &shape, now_ms, rng) else {
                 blocked.push(key);
+                let is_late = now_ms.saturating_sub(arrived_ms) >= HOLD_BACK_AFTER_MS;
+                if is_late && self.held_back_for.is_none() {
+                    self.pool.hold_back(&shape);
+                    self.held_back_for = Some(key);
+                }
                 continue;
             };
             if let Some(grant) = self.grant(priority, place, target, now_ms) {
@@ -326,11 +340,29 @@
         }
     }
 
-    fn next_part(
-        &self,
-        priority: Priority,
-        blocked: &[JobKey],
-    ) -> Option<(Place, JobKey, TaskShape)> {
+    /// Occupies room for a task, also on the target that is held back for its part.
+    fn occupy(
+        &mut self,
+        key: JobKey,
+        shape: &TaskShape,
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        if self.held_back_for == Some(key)
+            && let Some(target) = self.pool.occupy_held_back(shape, now_ms)
+        {
+            self.free_held_back();
+            return Some(target);
+        }
+        self.pool.occupy(shape, now_ms, rng)
+    }
+
+    const fn free_held_back(&mut self) {
+        self.held_back_for = None;
+        self.pool.free_held_back();
+    }
+
+    fn next_part(&self, priority: Priority, blocked: &[JobKey]) -> Option<Candidate> {
         let short_slots = f64::from(self.pool.total_slots()) * self.options.short_share;
         let long_most = self.pool.total_slots().saturating_sub(short_slots.ceil() as u32);
         let allow_long = self.long_slots < long_most;
@@ -339,7 +371,7 @@
             |team| self.teams.virtual_ms(team),
             |part| !blocked.contains(&part.key) && self.teams.may_take(part.team, part.shape.slots),
         )?;
-        Some((place, part.key, part.shape))
+        Some(Candidate { place, key: part.key, shape: part.shape, arrived_ms: part.arrived_ms })
     }
 
     fn grant(
@@ -383,6 +415,9 @@
     }
 
     fn remove_parts(&mut self, gone: impl Fn(&JobKey) -> bool) {
+        if self.held_back_for.as_ref().is_some_and(&gone) {
+            self.free_held_back();
+        }
         for queue in &mut self.queues {
             for part in queue.remove(&gone) {
                 self.teams.dequeue(part.team, part.remaining);
@@ -391,6 +426,14 @@
     }
 }
 
+/// The part that is next in turn.
+struct Candidate {
+    place: Place,
+    key: JobKey,
+    shape: TaskShape,
+    arrived_ms: u64,
+}
+
 fn retry_after(wait_ms: u32) -> u32 {
     wait_ms.max(LEAST_RETRY_AFTER_MS)
 }
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -205,6 +205,28 @@
         assert!(bench.assign().iter().any(|grant| grant.key.job == narrow));
     };
 
+    /// A wide task gets its turn though narrow ones keep coming.
+    wide_task_is_not_starved => {
+        let mut bench = Bench::new(2, 4, no_reserve());
+        bench.offer("a", Priority::Standard, 8);
+        let mut held = bench.assign();
+        let mut wide = bench.demand("a", Priority::Standard, 1);
+        wide.shape = shape(4);
+        let wanted = wide.key.job;
+        bench.scheduler.offer(wide, 0);
+        for _ in 0..40 {
+            bench.now_ms += 100;
+            bench.offer("b", Priority::Standard, 1);
+            let grant = held.remove(0);
+            bench.end(&grant, LeaseEnd::Done { run_ms: 100 });
+            held.extend(bench.assign());
+            if held.iter().any(|grant| grant.key.job == wanted) {
+                return;
+            }
+        }
+        panic!("the wide task waits for ever");
+    };
+
     /// A target that fails what it starts is ejected, and probed with one task.
     failing_target_is_ejected => {
         let mut bench = Bench::new(4, 2, no_reserve());
--- a/crates/session/tests/interleavings.rs
+++ b/crates/session/tests/interleavings.rs
@@ -10,7 +10,7 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 
-const CASES: u32 = 3_000;
+const CASES: u32 = 20_000;
 const MOST_STEPS: usize = 80;
 
 #[derive(Clone, Debug)]
