Answers belong to demands; the list of VMs is asked for what has changed

Demands and answers are now kept in order in session::Asked, with tests that fail on the old rule; a job that has begun is placed again later instead of failed.

It now asks for the roles and zone it needs and gets nothing while the version stands. Targets say 'leaving' with their answers, and dispatchers probe only targets that were quiet for 2 s (was: all, every 2 s).

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -90,10 +90,13 @@
         channels: Arc<Channels>,
         seeds: Vec<SocketAddr>,
     ) {
+        let (mut known, mut version) = (Vec::new(), None);
         loop {
-            match list.list().await {
-                Ok(vms) => {
-                    self.apply(&vms);
+            match list.list(version).await {
+                Ok(listing) => {
+                    version = Some(listing.version);
+                    known = listing.vms.unwrap_or(known);
+                    self.apply(&known);
                     if !self.reachable.swap(true, Ordering::Relaxed) {
                         log_event!(info, VmListReachable);
                     }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -5,7 +5,7 @@
 use ggb_control::Clock;
 
 use ggb_policy::{
-    Admission, JobKey, LeaseEnd, Options, Scheduler, SchedulerStats, StreamId, TargetSpec,
+    Admission, JobKey, LeaseEnd, LeaseId, Options, Scheduler, SchedulerStats, StreamId, TargetSpec,
 };
 use ggb_telemetry::{DispatchMetrics, log_event};
 use ggb_wire::{WireError, v1};
@@ -138,6 +138,12 @@
         self.state.lock().scheduler.target_leaving(addr, self.clock.now_ms());
     }
 
+    /// Returns the targets that no home has told anything of since `since_ms` ago.
+    pub(crate) fn quiet_targets(&self, since_ms: u64) -> Vec<SocketAddr> {
+        let before_ms = self.clock.now_ms().saturating_sub(since_ms);
+        self.state.lock().scheduler.targets_quiet_since(before_ms)
+    }
+
     /// Ends what has lapsed, and matches tasks to slots again.
     pub(crate) fn refresh(&self) {
         let now_ms = self.clock.now_ms();
@@ -193,8 +199,13 @@
     ) {
         let end = read_end(release);
         self.metrics.releases.with_label_values(&[end_label(end)]).inc();
-        if scheduler.release(stream, ggb_policy::LeaseId(lease), end, now_ms) {
-            log_event!(warn, TargetEjected, lease);
+        let Some(released) = scheduler.release(stream, LeaseId(lease), end, now_ms) else { return };
+        if released.ejected {
+            log_event!(warn, TargetEjected, target = %released.target);
+        }
+        if release.leaving {
+            log_event!(info, TargetLeaving, target = %released.target);
+            scheduler.target_leaving(released.target, now_ms);
         }
     }
 
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -6,7 +6,8 @@
 use error_stack::{Report, ResultExt as _};
 use ggb_control::{Channels, Clock, Members, RpcListener};
 use ggb_http::{ClientLimits, HttpClient};
-use ggb_platform::{HttpTargets, HttpVmList};
+use ggb_membership::Role;
+use ggb_platform::{HttpTargets, HttpVmList, VmFilter};
 use ggb_telemetry::{Gauges, OperatorServer, Phase, StatusSource, log_event};
 use ggb_wire::v1::dispatch_server::DispatchServer;
 use serde_json::{Value, json};
@@ -55,7 +56,12 @@
         let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
         let client = Arc::new(HttpClient::new(limits));
         let channels = Arc::new(Channels::new(settings.source_ip));
-        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
+        let filter = VmFilter {
+            zone: settings.zone.clone(),
+            roles_in_zone: vec![Role::Target],
+            roles_anywhere: Vec::new(),
+        };
+        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client), filter));
         let members = Members::spawn(list, channels, settings.seeds.clone(), clock);
         let source =
             Arc::new(DispatchStatus { core: Arc::clone(&core), members: Arc::clone(&members) });
@@ -65,9 +71,9 @@
         let service = DispatchServer::new(DispatchService::new(Arc::clone(&core)));
         task::spawn(Server::builder().add_service(service).serve_with_incoming(incoming));
         let zone = settings.zone;
-        task::spawn(follow_list(Arc::clone(&core), Arc::clone(&members), zone.clone()));
+        task::spawn(follow_list(Arc::clone(&core), Arc::clone(&members), zone));
         let targets = Arc::new(HttpTargets::new(client));
-        task::spawn(probe(Arc::clone(&core), members, targets, zone));
+        task::spawn(probe(Arc::clone(&core), members, targets));
         task::spawn(keep_fresh(Arc::clone(&core)));
         log_event!(info, Started, role = "dispatch", rpc = %rpc_addr, operator = %operator.local_addr());
         Ok(Dispatcher { core, rpc_addr, operator })
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -37,19 +37,13 @@
     }
 }
 
-/// Asks each target whether it is leaving, since the list lags.
-pub(crate) async fn probe(
-    core: Arc<Core>,
-    members: Arc<Members>,
-    targets: Arc<dyn Targets>,
-    zone: Zone,
-) {
+/// Asks targets whether they are leaving, since the list lags.
+///
+/// A busy target says so with its answers, so that only quiet ones are asked.
+pub(crate) async fn probe(core: Arc<Core>, members: Arc<Members>, targets: Arc<dyn Targets>) {
     loop {
         task::sleep(Duration::from_millis(PROBE_MS)).await;
-        let view = members.view();
-        let here = view.staying(Role::Target).filter(|vm| vm.zone == zone);
-        let addrs: Vec<_> = here.map(|vm| vm.addr).collect();
-        let probes = stream::iter(addrs).map(|addr| {
+        let probes = stream::iter(core.quiet_targets(PROBE_MS)).map(|addr| {
             let targets = Arc::clone(&targets);
             async move { (addr, targets.status(addr).await) }
         });
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -14,6 +14,7 @@
 use crate::{
     home::Home,
     job::{Job, Lease, SentTask},
+    placement::LeaseReport,
     settings::Placer,
 };
 
@@ -134,12 +135,12 @@
     }
 
     fn replied(&self, job: &Arc<Job>, sent: &SentTask, reply: StartReply) {
-        if reply.leaving {
-            self.members.observe_leaving(sent.lease.target);
-        }
+        let leaving = reply.leaving;
         match reply.end {
             StartEnd::Done { answer, run_ms } => {
-                self.release(sent.lease, sent.number, v1::LeaseEnd::Done, run_ms);
+                let report =
+                    LeaseReport { run_ms, leaving, ..LeaseReport::new(v1::LeaseEnd::Done) };
+                self.release(sent.lease, sent.number, report);
                 let mut state = job.state.lock();
                 state.longest_run_ms = state.longest_run_ms.max(run_ms);
                 let outcome = state.progress.answered(sent.task, answer);
@@ -165,7 +166,7 @@
 
     /// Takes a denial: the task was not started and may be placed elsewhere.
     fn denied(&self, job: &Arc<Job>, sent: &SentTask, end: v1::LeaseEnd) {
-        self.release(sent.lease, sent.number, end, 0);
+        self.release(sent.lease, sent.number, LeaseReport::new(end));
         self.metrics.wasted_messages.with_label_values(&["denied_start"]).inc();
         let outcome = job.state.lock().progress.not_started(sent.task);
         match outcome {
@@ -179,7 +180,7 @@
     }
 
     fn faulted(&self, job: &Arc<Job>, sent: &SentTask, end: v1::LeaseEnd, fault: TaskFault) {
-        self.release(sent.lease, sent.number, end, 0);
+        self.release(sent.lease, sent.number, LeaseReport::new(end));
         let outcome = job.state.lock().progress.faulted(sent.task, fault);
         outcome.into_iter().for_each(|outcome| self.finish(job, &outcome));
     }
@@ -188,12 +189,12 @@
         self.observe_outcome(job, outcome);
         self.record(job, Answer::new(outcome));
         let mut state = job.state.lock();
-        let parts = std::mem::take(&mut state.parts);
+        let asked = std::mem::take(&mut state.asked);
         let held = std::mem::take(&mut state.held);
         let sent = state.sent.clone();
         drop(state);
-        for part in parts.iter().filter(|part| part.outstanding > 0) {
-            if let Some(link) = self.links.find(part.link) {
+        for link in asked.owing() {
+            if let Some(link) = self.links.find(link) {
                 link.withdraw(job.number);
             }
         }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Receiver, Sender};
 use ggb_model::{JobSpec, Priority, Profile, Refusal, SubmissionId, TaskIndex, TaskShape};
-use ggb_session::JobProgress;
+use ggb_session::{Asked, JobProgress};
 use ggb_wire::v1;
 use parking_lot::Mutex;
 use xxhash_rust::xxh3::xxh3_64;
@@ -20,14 +20,6 @@
     pub(crate) target: SocketAddr,
 }
 
-/// What was asked of one dispatcher for a job.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Part {
-    pub(crate) link: usize,
-    pub(crate) outstanding: u16,
-    pub(crate) admitted: bool,
-}
-
 /// A task that was sent to a target.
 #[derive(Clone, Debug)]
 pub(crate) struct SentTask {
@@ -44,7 +36,7 @@
     pub(crate) progress: JobProgress,
     /// Whether every part was admitted once, so that tasks may be sent.
     pub(crate) begun: bool,
-    pub(crate) parts: Vec<Part>,
+    pub(crate) asked: Asked,
     /// Leases that came before every part was admitted.
     pub(crate) held: Vec<Lease>,
     pub(crate) sent: Vec<SentTask>,
@@ -56,17 +48,13 @@
 impl JobState {
     /// Returns how many tasks wait and are asked of no dispatcher.
     pub(crate) fn unasked(&self) -> u16 {
-        let asked: usize = self.parts.iter().map(|part| usize::from(part.outstanding)).sum();
-        self.progress.waiting().saturating_sub(asked + self.held.len()) as u16
+        let asked = self.asked.outstanding() + self.held.len();
+        self.progress.waiting().saturating_sub(asked) as u16
     }
 
     /// Returns whether every part was admitted and no task is left out.
     pub(crate) fn is_admitted(&self) -> bool {
-        self.parts.iter().all(|part| part.admitted) && self.unasked() == 0
-    }
-
-    pub(crate) fn part_mut(&mut self, link: usize) -> Option<&mut Part> {
-        self.parts.iter_mut().find(|part| part.link == link)
+        self.asked.is_answered() && self.unasked() == 0
     }
 
     /// Returns the refusal to report when no dispatcher takes the job.
@@ -105,7 +93,7 @@
         let state = JobState {
             progress: JobProgress::new(spec.tasks.len() as u16, settings.placement_retries),
             begun: false,
-            parts: Vec::new(),
+            asked: Asked::default(),
             held: Vec::new(),
             sent: Vec::new(),
             refusals: Vec::new(),
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -1,18 +1,36 @@
 //! Asking dispatchers for slots, and taking what they grant.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use async_std::task;
 use ggb_model::{Refusal, RefusalReason};
 use ggb_policy::{ZoneLoad, split};
 use ggb_wire::{addr_from, v1};
 
 use crate::{
     home::Home,
-    job::{Job, JobState, Lease, Part, SentTask},
+    job::{Job, Lease, SentTask},
     link::{Link, LinkSink},
     settings::Placer,
 };
 
+const PLACE_AGAIN_MS: u64 = 100;
+
+/// What a dispatcher is told of the end of a lease.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseReport {
+    pub(crate) end: v1::LeaseEnd,
+    pub(crate) run_ms: u32,
+    /// Whether the target said that it is leaving.
+    pub(crate) leaving: bool,
+}
+
+impl LeaseReport {
+    pub(crate) const fn new(end: v1::LeaseEnd) -> Self {
+        LeaseReport { end, run_ms: 0, leaving: false }
+    }
+}
+
 impl Home {
     /// Asks dispatchers for the tasks of a job that wait and are asked of none.
     pub(crate) fn place(&self, job: &Arc<Job>) {
@@ -30,12 +48,14 @@
             links.iter().filter(|link| link.is_connected() && !refused(link)).collect();
         if open.is_empty() {
             let refusal = state.combined_refusal();
+            let begun = state.begun;
             drop(state);
             // Without any dispatcher the job waits for one, within its limit.
-            if let Some(refusal) = refusal {
-                self.stop(job, refusal);
-            }
-            return;
+            return match refusal {
+                Some(refusal) if begun => self.place_later(job, refusal),
+                Some(refusal) => self.stop(job, refusal),
+                None => {}
+            };
         }
         let loads: Vec<ZoneLoad> = open.iter().map(|link| link.load(job.priority)).collect();
         let mut counts = split(count, &loads);
@@ -44,20 +64,34 @@
         }
         let begun = state.begun;
         for (link, count) in open.iter().zip(counts).filter(|(_, count)| *count > 0) {
-            record_part(&mut state, link.index, count);
+            state.asked.ask(link.index, count);
             link.ask(job.priority, demand(job, count, begun));
         }
     }
 
+    /// Tries again to place the rest of a job that has begun, which is not failed for
+    /// want of room before one of its tasks would have timed out.
+    fn place_later(&self, job: &Arc<Job>, refusal: Refusal) {
+        if job.submitted.elapsed() > Duration::from_millis(job.task_timeout_ms.into()) {
+            return self.stop(job, refusal);
+        }
+        let Some(home) = self.own.upgrade() else { return };
+        let job = Arc::clone(job);
+        task::spawn(async move {
+            task::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
+            job.state.lock().refusals.clear();
+            home.place(&job);
+        });
+    }
+
     fn admitted(&self, link: &Arc<Link>, admission: v1::Admission) {
         link.note_admission(admission.job);
         let Some(job) = self.job(admission.job) else { return };
         let mut state = job.state.lock();
-        match refusal_of(&admission) {
+        let refusal = refusal_of(&admission);
+        state.asked.answer(link.index, refusal.is_none());
+        match refusal {
             None => {
-                if let Some(part) = state.part_mut(link.index) {
-                    part.admitted = true;
-                }
                 if !state.begun && state.is_admitted() {
                     state.begun = true;
                     let held = std::mem::take(&mut state.held);
@@ -66,7 +100,6 @@
                 }
             }
             Some(refusal) => {
-                state.parts.retain(|part| part.link != link.index);
                 state.refusals.push((link.index, refusal));
                 drop(state);
                 self.place(&job);
@@ -79,9 +112,7 @@
         let lease = Lease { link: link.index, epoch, id: grant.lease, target };
         let Some(job) = self.job(grant.job) else { return self.return_unused(lease) };
         let mut state = job.state.lock();
-        if let Some(part) = state.part_mut(link.index) {
-            part.outstanding = part.outstanding.saturating_sub(1);
-        }
+        state.asked.granted(link.index);
         if !state.begun && !state.progress.is_over() {
             state.held.push(lease);
             return;
@@ -98,7 +129,8 @@
                 .is_some_and(|job| job.state.lock().sent.iter().any(|sent| sent.number == *number));
             if !runs {
                 let end = v1::LeaseEnd::Unused.into();
-                link.release(0, *number, v1::Release { lease: *number, end, run_ms: 0 });
+                let release = v1::Release { lease: *number, end, run_ms: 0, leaving: false };
+                link.release(0, *number, release);
             }
         }
     }
@@ -106,13 +138,14 @@
     /// Returns a lease that leads to no start.
     pub(crate) fn return_unused(&self, lease: Lease) {
         self.metrics.wasted_messages.with_label_values(&["unused_grant"]).inc();
-        self.release(lease, 0, v1::LeaseEnd::Unused, 0);
+        self.release(lease, 0, LeaseReport::new(v1::LeaseEnd::Unused));
     }
 
     /// Tells the dispatcher how a lease ended.
-    pub(crate) fn release(&self, lease: Lease, number: u64, end: v1::LeaseEnd, run_ms: u32) {
+    pub(crate) fn release(&self, lease: Lease, number: u64, report: LeaseReport) {
         let Some(link) = self.links.find(lease.link) else { return };
-        let release = v1::Release { lease: lease.id, end: end.into(), run_ms };
+        let LeaseReport { end, run_ms, leaving } = report;
+        let release = v1::Release { lease: lease.id, end: end.into(), run_ms, leaving };
         link.release(lease.epoch, number, release);
     }
 }
@@ -137,7 +170,7 @@
     fn link_down(&self, link: &Arc<Link>) {
         for job in self.jobs() {
             let mut state = job.state.lock();
-            state.parts.retain(|part| part.link != link.index);
+            state.asked.lost(link.index);
             // The dispatcher has taken these leases back with the connection.
             state.held.retain(|lease| lease.link != link.index);
             drop(state);
@@ -159,16 +192,6 @@
     }
 }
 
-fn record_part(state: &mut JobState, link: usize, count: u16) {
-    match state.part_mut(link) {
-        Some(part) => {
-            part.outstanding += count;
-            part.admitted = false;
-        }
-        None => state.parts.push(Part { link, outstanding: count, admitted: false }),
-    }
-}
-
 /// Describes the tasks of a job to a dispatcher.
 ///
 /// A job that has begun is not turned away half-way, so its limits are lifted.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -6,8 +6,11 @@
 use error_stack::{Report, ResultExt as _};
 use ggb_control::{Channels, Clock, Configuration, Members, RpcListener};
 use ggb_http::{ClientLimits, HttpClient, HttpServer, ServerLimits};
+use ggb_membership::Role;
 use ggb_model::{HomeId, Incarnation};
-use ggb_platform::{ClaimStore, HttpTable, HttpTargets, HttpVmList, ProfileStore, Table, Targets};
+use ggb_platform::{
+    ClaimStore, HttpTable, HttpTargets, HttpVmList, ProfileStore, Table, Targets, VmFilter,
+};
 use ggb_session::SessionTable;
 use ggb_telemetry::{Gauges, OperatorServer, Phase, StatusSource, log_event};
 use ggb_wire::v1::peer_server::PeerServer;
@@ -130,7 +133,8 @@
         let channels = Arc::new(Channels::new(settings.source_ip));
         let table: Arc<dyn Table> =
             Arc::new(HttpTable::new(settings.platform, Arc::clone(&client)));
-        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client)));
+        let filter = known_vms(settings);
+        let list = Arc::new(HttpVmList::new(settings.platform, Arc::clone(&client), filter));
         let members = Members::spawn(list, Arc::clone(&channels), settings.seeds.clone(), clock);
         Outside {
             clock,
@@ -224,6 +228,16 @@
     }
 }
 
+/// Returns which VMs an entry process needs to know: the targets of its zone only to
+/// tell them to a dispatcher that boots while the platform can't be reached.
+fn known_vms(settings: &EntrySettings) -> VmFilter {
+    let mut roles_anywhere = vec![Role::Entry, Role::Dispatch];
+    if settings.placer != Placer::Leases {
+        roles_anywhere.push(Role::Target);
+    }
+    VmFilter { zone: settings.zone.clone(), roles_in_zone: vec![Role::Target], roles_anywhere }
+}
+
 fn serve_peers(service: PeerService, listener: RpcListener) -> io::Result<()> {
     let service = PeerServer::new(service)
         .max_decoding_message_size(MESSAGE_BYTES)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -28,5 +28,5 @@
         CancelRequest, Denial, HttpTargets, StartEnd, StartError, StartReply, StartRequest,
         TargetStatus, Targets,
     },
-    vms::{HttpVmList, VmList},
+    vms::{HttpVmList, ListRequest, VmFilter, VmList, VmListing},
 };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,6 @@
     lease::{Grant, LeaseEnd, LeaseId},
     pool::{TargetPool, TargetSpec},
     retry::RetryBudget,
-    scheduler::{HeldLease, Options, Scheduler, SchedulerStats},
+    scheduler::{HeldLease, Options, Released, Scheduler, SchedulerStats},
     spill::{ZoneLoad, split},
 };
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -32,6 +32,8 @@
     /// No new lease before this time, after a denial.
     paused_until_ms: u64,
     health: Health,
+    /// When a task on it last ended well.
+    heard_ms: u64,
     /// Position among the open targets, or [`CLOSED`].
     open_at: usize,
 }
@@ -125,6 +127,7 @@
         let Ok(at) = self.position(addr) else { return };
         let target = &mut self.targets[at];
         let before = target.health.failure_share;
+        target.heard_ms = now_ms;
         target.health.succeeded(target.spec.capacity.slots.into());
         self.failure_shares += target.health.failure_share - before;
         self.reopen(at, now_ms);
@@ -257,6 +260,12 @@
         self.ejected
     }
 
+    /// Returns the targets on which no task has ended well since `before_ms`.
+    pub fn quiet_since(&self, before_ms: u64) -> impl Iterator<Item = SocketAddr> {
+        let quiet = self.targets.iter().filter(move |target| target.heard_ms < before_ms);
+        quiet.map(|target| target.spec.addr)
+    }
+
     /// Returns the addresses of all targets.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
         self.targets.iter().map(|target| target.spec.addr)
@@ -365,6 +374,7 @@
         leaving: false,
         paused_until_ms: 0,
         health: Health::default(),
+        heard_ms: 0,
         open_at: CLOSED,
     }
 }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -67,6 +67,15 @@
     pub ejected: usize,
 }
 
+/// What came of the release of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// The target.
+    pub target: SocketAddr,
+    /// Whether it was ejected because of how the task ended.
+    pub ejected: bool,
+}
+
 /// Decides which waiting task gets which free slot.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -115,6 +124,11 @@
         self.pool.mark_leaving(addr, now_ms);
     }
 
+    /// Returns the targets of which nothing was heard since `before_ms`.
+    pub fn targets_quiet_since(&self, before_ms: u64) -> Vec<SocketAddr> {
+        self.pool.quiet_since(before_ms).collect()
+    }
+
     /// Returns the addresses of all targets.
     pub fn targets(&self) -> Vec<SocketAddr> {
         self.pool.addrs().collect()
@@ -162,11 +176,23 @@
 
     /// Takes back a lease and learns from how it ended; unknown leases are ignored.
     ///
-    /// Returns whether the target was ejected on this evidence.
-    pub fn release(&mut self, stream: StreamId, id: LeaseId, end: LeaseEnd, now_ms: u64) -> bool {
-        let Some(lease) = self.leases.remove(id, stream) else { return false };
+    /// Returns the target, and whether it was ejected on this evidence.
+    pub fn release(
+        &mut self,
+        stream: StreamId,
+        id: LeaseId,
+        end: LeaseEnd,
+        now_ms: u64,
+    ) -> Option<Released> {
+        let lease = self.leases.remove(id, stream)?;
         let target = lease.target;
         self.give_back(&lease, end, now_ms);
+        Some(Released { target, ejected: self.learn(&lease, end, now_ms) })
+    }
+
+    /// Learns from how a task ended; returns whether its target was ejected.
+    fn learn(&mut self, lease: &Lease, end: LeaseEnd, now_ms: u64) -> bool {
+        let target = lease.target;
         match end {
             LeaseEnd::Done { run_ms } => {
                 self.run_times.learn(lease.work, run_ms);
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -76,7 +76,8 @@
     }
 
     fn end(&mut self, grant: &Grant, end: LeaseEnd) -> bool {
-        self.scheduler.release(STREAM, grant.lease, end, self.now_ms)
+        let released = self.scheduler.release(STREAM, grant.lease, end, self.now_ms);
+        released.is_some_and(|released| released.ejected)
     }
 }
 
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -27,12 +27,14 @@
 //! assert!(matches!(table.submit(&session, Sequence(0), body, 2), Verdict::Running));
 //! ```
 
+mod asked;
 mod entry;
 mod progress;
 mod sealed;
 mod table;
 
 pub use crate::{
+    asked::Asked,
     entry::{Answer, Fingerprint},
     progress::{JobProgress, Placement},
     sealed::SealedTable,
--- /dev/null
+++ b/crates/session/tests/asked.rs
@@ -0,0 +1,39 @@
+//! Demands and their answers.
+
+use ggb_session::Asked;
+
+#[test]
+fn an_earlier_acceptance_does_not_stand_for_a_later_demand() {
+    let mut asked = Asked::default();
+    asked.ask(0, 10);
+    asked.ask(1, 5);
+    asked.answer(1, false);
+    asked.ask(0, 5);
+    asked.answer(0, true);
+    assert!(!asked.is_answered());
+    assert_eq!(asked.outstanding(), 15);
+    asked.answer(0, false);
+    assert!(asked.is_answered());
+    assert_eq!(asked.outstanding(), 10);
+}
+
+#[test]
+fn a_refusal_leaves_what_was_accepted_before() {
+    let mut asked = Asked::default();
+    asked.ask(0, 4);
+    asked.answer(0, true);
+    asked.granted(0);
+    asked.ask(0, 2);
+    asked.answer(0, false);
+    assert_eq!((asked.outstanding(), asked.owing().collect::<Vec<_>>()), (3, vec![0]));
+}
+
+#[test]
+fn a_lost_dispatcher_owes_nothing() {
+    let mut asked = Asked::default();
+    asked.ask(0, 4);
+    asked.lost(0);
+    asked.answer(0, true);
+    asked.granted(0);
+    assert!(asked.is_answered() && asked.outstanding() == 0 && asked.owing().next().is_none());
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,7 +8,7 @@
 use ggb_http::{HttpError, HttpServer, ServerLimits, json_response, read_body};
 use ggb_membership::{Vm, VmState};
 use ggb_model::Incarnation;
-use ggb_platform::ReadRequest;
+use ggb_platform::{ListRequest, ReadRequest, VmListing};
 use http_types::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,7 @@
     rows: Vec<Row>,
     next_version: u64,
     vms: Vec<Vm>,
+    list_version: u64,
     fault: TableFault,
     list_down: bool,
     reads: u64,
@@ -97,20 +98,17 @@
 
     /// Adds a VM to the list or replaces the one with the same address.
     pub fn list_vm(&self, vm: Vm) {
-        insert_vm(&mut self.shared.state.lock().vms, vm);
+        self.shared.state.lock().insert_vm(vm);
     }
 
     /// Takes a VM off the list.
     pub fn unlist_vm(&self, addr: SocketAddr) {
-        self.shared.state.lock().vms.retain(|vm| vm.addr != addr);
+        self.shared.state.lock().remove_vm(addr);
     }
 
     /// Marks a VM as leaving.
     pub fn mark_leaving(&self, addr: SocketAddr) {
-        let mut state = self.shared.state.lock();
-        for vm in state.vms.iter_mut().filter(|vm| vm.addr == addr) {
-            vm.state = VmState::Leaving;
-        }
+        self.shared.state.lock().mark_leaving(addr);
     }
 
     /// Returns the reads and writes answered so far.
@@ -132,6 +130,26 @@
         under.cloned().collect()
     }
 
+    /// Inserts a VM, with a fresh incarnation where the list gives none.
+    fn insert_vm(&mut self, mut vm: Vm) {
+        if vm.incarnation == Incarnation::default() {
+            vm.incarnation = Incarnation(rand::random());
+        }
+        self.remove_vm(vm.addr);
+        self.vms.push(vm);
+    }
+
+    fn remove_vm(&mut self, addr: SocketAddr) {
+        self.vms.retain(|vm| vm.addr != addr);
+        self.list_version += 1;
+    }
+
+    fn mark_leaving(&mut self, addr: SocketAddr) {
+        let leaving = self.vms.iter_mut().filter(|vm| vm.addr == addr);
+        leaving.for_each(|vm| vm.state = VmState::Leaving);
+        self.list_version += 1;
+    }
+
     fn version(&self, key: &str) -> Version {
         match self.rows.binary_search_by(|row| row.key.as_str().cmp(key)) {
             Ok(at) => self.rows[at].version,
@@ -175,7 +193,7 @@
         Err(error) => return failure(StatusCode::BadRequest, &error.to_string()),
     };
     match path.as_str() {
-        "/v1/vms" => list(&shared),
+        "/v1/vms" => list(&shared, &body),
         "/v1/table/read" => read(&shared, &body).await,
         "/v1/table/commit" => commit(&shared, &body).await,
         "/control" => control(&shared, &body),
@@ -183,12 +201,18 @@
     }
 }
 
-fn list(shared: &Shared) -> Response {
+fn list(shared: &Shared, body: &[u8]) -> Response {
+    let Ok(request) = serde_json::from_slice::<ListRequest>(body) else {
+        return failure(StatusCode::BadRequest, "expected a filter");
+    };
     let state = shared.state.lock();
-    match state.list_down {
-        true => failure(StatusCode::ServiceUnavailable, "the list is down"),
-        false => json_response(StatusCode::Ok, &state.vms),
+    if state.list_down {
+        return failure(StatusCode::ServiceUnavailable, "the list is down");
     }
+    let version = state.list_version;
+    let allowed = || state.vms.iter().filter(|vm| request.filter.allows(vm)).cloned().collect();
+    let vms = (request.known_version != Some(version)).then(allowed);
+    json_response(StatusCode::Ok, &VmListing { version, vms })
 }
 
 async fn read(shared: &Shared, body: &[u8]) -> Response {
@@ -247,25 +271,13 @@
     let mut state = shared.state.lock();
     match control {
         Control::Table(fault) => state.fault = fault,
-        Control::ListVms { vms } => vms.into_iter().for_each(|vm| insert_vm(&mut state.vms, vm)),
-        Control::UnlistVm { addr } => state.vms.retain(|vm| vm.addr != addr),
-        Control::MarkLeaving { addr } => {
-            let leaving = state.vms.iter_mut().filter(|vm| vm.addr == addr);
-            leaving.for_each(|vm| vm.state = VmState::Leaving);
-        }
+        Control::ListVms { vms } => vms.into_iter().for_each(|vm| state.insert_vm(vm)),
+        Control::UnlistVm { addr } => state.remove_vm(addr),
+        Control::MarkLeaving { addr } => state.mark_leaving(addr),
     }
     json_response(StatusCode::Ok, &json!({ "done": true }))
 }
 
-/// Inserts a VM, with a fresh incarnation where the list gives none.
-fn insert_vm(vms: &mut Vec<Vm>, mut vm: Vm) {
-    if vm.incarnation == Incarnation::default() {
-        vm.incarnation = Incarnation(rand::random());
-    }
-    vms.retain(|other| other.addr != vm.addr);
-    vms.push(vm);
-}
-
 fn failure(status: StatusCode, message: &str) -> Response {
     json_response(status, &json!({ "error": message }))
 }
