--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -24,7 +24,8 @@
 const QUEUED_BATCHES: usize = 4;
 const SILENCE_MS: u64 = 2_000;
 const HEARTBEAT_MS: u64 = 500;
-const RETRY_MS: u64 = 100;
+const FIRST_RETRY_MS: u64 = 100;
+const MOST_RETRY_MS: u64 = 1_600;
 const PREFERRED_CHECK_MS: u64 = 3_000;
 const LATENCY_WEIGHT: f64 = 0.1;
 const FIRST_REMOTE_LATENCY_US: f64 = 3_000.0;
@@ -147,6 +148,7 @@
         channels: Arc<Channels>,
         sink: Weak<dyn LinkSink>,
     ) {
+        let mut retry_ms = FIRST_RETRY_MS;
         while sink.strong_count() > 0 {
             for addr in self.candidates(&members) {
                 let Some(connection) = Connection::open(&channels, addr).await else {
@@ -154,10 +156,12 @@
                 };
                 let connected = self.serve(connection, &members, &channels, &sink).await;
                 if connected.is_some() {
+                    retry_ms = FIRST_RETRY_MS;
                     break;
                 }
             }
-            task::sleep(Duration::from_millis(RETRY_MS)).await;
+            task::sleep(Duration::from_millis(retry_ms)).await;
+            retry_ms = (retry_ms * 2).min(MOST_RETRY_MS);
         }
     }
 
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -19,12 +19,14 @@
 #[derive(Debug)]
 pub(crate) struct Links {
     zone: Zone,
+    /// The zones that work may spill to; all zones if none is named.
+    spill_zones: Vec<Zone>,
     links: ArcSwap<Vec<Arc<Link>>>,
 }
 
 impl Links {
-    pub(crate) fn new(zone: Zone) -> Self {
-        Links { zone, links: ArcSwap::default() }
+    pub(crate) fn new(zone: Zone, spill_zones: Vec<Zone>) -> Self {
+        Links { zone, spill_zones, links: ArcSwap::default() }
     }
 
     pub(crate) fn all(&self) -> Arc<Vec<Arc<Link>>> {
@@ -62,10 +64,14 @@
         zones.sort();
         zones.dedup();
         let links = self.links.load();
-        zones.retain(|zone| !links.iter().any(|link| link.zone == *zone));
+        zones.retain(|zone| !links.iter().any(|link| link.zone == *zone) && self.uses(zone));
         zones
     }
 
+    fn uses(&self, zone: &Zone) -> bool {
+        self.spill_zones.is_empty() || *zone == self.zone || self.spill_zones.contains(zone)
+    }
+
     fn insert(&self, zone: Zone) -> Arc<Link> {
         let mut links = (*self.links.load_full()).clone();
         let is_local = zone == self.zone;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -140,7 +140,7 @@
             clock,
             configuration: Configuration::spawn(ProfileStore::new(Arc::clone(&table))),
             targets: Arc::new(HttpTargets::new(client)),
-            links: Arc::new(Links::new(settings.zone.clone())),
+            links: Arc::new(Links::new(settings.zone.clone(), settings.spill_zones.clone())),
             reports: Arc::default(),
             channels,
             table,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -38,6 +38,8 @@
 pub struct EntrySettings {
     /// Its availability zone.
     pub zone: Zone,
+    /// The zones that work may spill to; all zones if none is named.
+    pub spill_zones: Vec<Zone>,
     /// Where callers connect.
     pub http_listen: SocketAddr,
     /// Where the other entry processes connect.
--- a/crates/greengagebeam/src/checked.rs
+++ b/crates/greengagebeam/src/checked.rs
@@ -7,7 +7,7 @@
     str::FromStr,
 };
 
-use ggb_model::ModelError;
+use ggb_model::{ModelError, Zone};
 
 /// Collects what is wrong with settings, so that one error names every bad field.
 #[derive(Debug, Default)]
@@ -52,6 +52,13 @@
         parts.filter_map(|part| self.addr(field, part)).collect()
     }
 
+    /// Reads a list of availability zones, separated by commas.
+    pub fn zones(&mut self, field: &'static str, text: &str) -> Vec<Zone> {
+        let expected = "names of zones, separated by commas";
+        let parts = text.split(',').filter(|part| !part.is_empty());
+        parts.filter_map(|part| self.value(field, part, expected)).collect()
+    }
+
     /// Reads an optional IP address.
     pub fn ip(&mut self, field: &'static str, text: Option<&str>) -> Option<IpAddr> {
         self.value(field, text?, "an IP address")
--- a/crates/greengagebeam/src/entry_args.rs
+++ b/crates/greengagebeam/src/entry_args.rs
@@ -18,6 +18,9 @@
     /// The availability zone of this VM
     #[bpaf(long, env("GGB_ZONE"), argument("ZONE"))]
     pub zone: String,
+    /// Zones that work may spill to, comma-separated, such as those of the region; by default all
+    #[bpaf(long, env("GGB_SPILL_ZONES"), argument("ZONES"), fallback(String::new()))]
+    pub spill_zones: String,
     /// Where callers connect, by HTTP
     #[bpaf(long, env("GGB_HTTP_LISTEN"), argument("ADDR"), fallback("0.0.0.0:7100".to_owned()), display_fallback)]
     pub http_listen: String,
@@ -85,6 +88,7 @@
             None => checked.reachable_addr("rpc-listen", &self.rpc_listen),
         };
         let zone = checked.value("zone", &self.zone, "1 to 64 letters, digits, `-`, `_` or `.`");
+        let spill_zones = checked.zones("spill-zones", &self.spill_zones);
         let http_listen = checked.addr("http-listen", &self.http_listen);
         let operator_listen = checked.addr("operator-listen", &self.operator_listen);
         let platform = checked.reachable_addr("platform", &self.platform);
@@ -100,6 +104,7 @@
         let settings = (|| {
             Some(EntrySettings {
                 zone: zone?,
+                spill_zones,
                 http_listen: http_listen?,
                 rpc_listen: rpc_listen?,
                 rpc_advertise,
