--- a/crates/greengagebeam/tests/harness/mod.rs
+++ b/crates/greengagebeam/tests/harness/mod.rs
@@ -2,9 +2,11 @@
 
 mod caller;
 mod checker;
+mod faults;
 mod language;
 mod naive;
 mod process;
+mod profiles;
 mod steps;
 mod world;
 
--- a/crates/greengagebeam/tests/harness/steps.rs
+++ b/crates/greengagebeam/tests/harness/steps.rs
@@ -2,14 +2,11 @@
 
 use std::{
     sync::Arc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use async_std::task;
-use ggb_config::{Change, ChangeContext, Generation};
-use ggb_model::{Profile, Settings};
-use ggb_platform::ChangeError;
-use ggb_standin::{LinkEffect, LinkRule, LogKind, LogLine, TableFault, read_log};
+use ggb_standin::{LogKind, LogLine, read_log};
 use http_types::Method;
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
@@ -23,20 +20,19 @@
     world::{Kind, World},
 };
 
-const CONTROL_TIMEOUT_MS: u64 = 2_000;
 const SAMPLE_MS: u64 = 50;
 
 /// Runs the steps of one scenario.
 pub struct Runner {
-    world: World,
-    sessions: Vec<(String, String)>,
-    submissions: Vec<Submission>,
-    pending: Vec<Pending>,
-    seen: Vec<Observed>,
-    leaving: Vec<(String, u64)>,
-    in_force: Vec<InForce>,
-    during_drain: Vec<(String, String)>,
-    samples: Arc<Mutex<Vec<Sample>>>,
+    pub(super) world: World,
+    pub(super) sessions: Vec<(String, String)>,
+    pub(super) submissions: Vec<Submission>,
+    pub(super) pending: Vec<Pending>,
+    pub(super) seen: Vec<Observed>,
+    pub(super) leaving: Vec<(String, u64)>,
+    pub(super) in_force: Vec<InForce>,
+    pub(super) during_drain: Vec<(String, String)>,
+    pub(super) samples: Arc<Mutex<Vec<Sample>>>,
 }
 
 impl Runner {
@@ -109,94 +105,6 @@
         }
     }
 
-    async fn create_profile(&mut self, step: &Step) -> Result<(), String> {
-        let settings = edited(Settings::default(), step)?;
-        let name = step.word(0)?.parse().map_err(|error| format!("{error}"))?;
-        let profile = Profile::try_new(name, settings).map_err(|error| error.to_string())?;
-        let generation = self.commit(Change::Create(profile)).await?;
-        self.in_force_everywhere(generation).await
-    }
-
-    async fn change_profile(&mut self, step: &Step) -> Result<(), String> {
-        let snapshot = self.world.store.snapshot().await.map_err(|error| error.to_string())?;
-        let snapshot = snapshot.map_err(|error| error.to_string())?;
-        let name = step.word(0)?.parse().map_err(|error| format!("{error}"))?;
-        let stored = snapshot.find(&name).ok_or("no such profile")?;
-        let base = snapshot.changed_in(&name).unwrap_or_default();
-        let change = match step.verb.as_str() {
-            "retire" => Change::Retire { name, base },
-            _ => Change::Replace { settings: edited(stored.settings().clone(), step)?, name, base },
-        };
-        self.commit(change).await.map(drop)
-    }
-
-    /// Lets operators change the same profile at once: one must win, the others must conflict.
-    async fn race(&mut self, step: &Step) -> Result<(), String> {
-        let snapshot = self.world.store.snapshot().await.map_err(|error| error.to_string())?;
-        let snapshot = snapshot.map_err(|error| error.to_string())?;
-        let name: ggb_model::ProfileName =
-            step.word(0)?.parse().map_err(|error| format!("{error}"))?;
-        let stored = snapshot.find(&name).ok_or("no such profile")?;
-        let base = snapshot.changed_in(&name).unwrap_or_default();
-        let racers: u32 = step.number("operators", 2)?;
-        let changes = (0..racers).map(|at| {
-            let settings = Settings { start_within_ms: 1_000 + at, ..stored.settings().clone() };
-            let change = Change::Replace { name: name.clone(), settings, base };
-            let store = self.world.store.clone();
-            async move { store.change(change, &context()).await }
-        });
-        let results = futures::future::join_all(changes).await;
-        let won = results.iter().filter(|result| result.is_ok()).count();
-        let lost = |result: &&Result<Generation, ChangeError>| {
-            matches!(result, Err(ChangeError::Conflict(_)))
-        };
-        let conflicts = results.iter().filter(lost).count();
-        match (won, conflicts) == (1, racers as usize - 1) {
-            true => Ok(()),
-            false => Err(format!("expected one winner, got {results:?}")),
-        }
-    }
-
-    async fn commit(&self, change: Change) -> Result<Generation, String> {
-        self.world.store.change(change, &context()).await.map_err(|error| error.to_string())
-    }
-
-    /// Waits until the newest generation is in force at the named processes.
-    async fn await_in_force(&mut self, step: &Step) -> Result<(), String> {
-        let head = self.world.store.head_generation().await.map_err(|error| error.to_string())?;
-        let generation = head.unwrap_or_default();
-        match step.words.as_slice() {
-            [] => self.in_force_everywhere(generation).await,
-            names => self.in_force_at(generation, names).await,
-        }
-    }
-
-    async fn in_force_everywhere(&mut self, generation: Generation) -> Result<(), String> {
-        let names: Vec<_> = self.world.of_kind(Kind::Entry).map(|m| m.name.clone()).collect();
-        self.in_force_at(generation, &names).await
-    }
-
-    async fn in_force_at(
-        &mut self,
-        generation: Generation,
-        names: &[String],
-    ) -> Result<(), String> {
-        let committed = Instant::now();
-        for name in names {
-            let what = format!("generation {generation} is in force at {name}");
-            let world = &self.world;
-            world
-                .until(&what, async || {
-                    let status = world.status(name).await.unwrap_or_default();
-                    status["details"]["generation"].as_u64() >= Some(generation.0)
-                })
-                .await?;
-            let after_ms = committed.elapsed().as_millis() as u64;
-            self.in_force.push(InForce { process: name.clone(), after_ms });
-        }
-        Ok(())
-    }
-
     async fn open_session(&mut self, step: &Step) -> Result<(), String> {
         let addr = self.world.member(step.required("at")?)?.http_addr();
         let reply = self.world.client.post(addr, "/v1/sessions", Vec::new(), 5_000).await;
@@ -340,112 +248,6 @@
         world.until(&what, async || world.status(name).await.is_ok_and(|s| matches(&s))).await
     }
 
-    fn drain(&mut self, step: &Step) -> Result<(), String> {
-        let name = step.word(0)?;
-        let open = self.pending.iter().filter(|pending| pending.via == name);
-        let open = open.filter(|pending| pending.seen().is_none());
-        let open: Vec<_> = open.map(|p| (p.via.clone(), p.submission.clone())).collect();
-        self.during_drain.extend(open);
-        match step.option("naive") {
-            Some(_) => self.kill(step),
-            None => self.world.member(name)?.process.signal(Signal::SIGTERM),
-        }
-    }
-
-    async fn await_exit(&mut self, step: &Step) -> Result<(), String> {
-        let member = Mutex::new(self.world.member_mut(step.word(0)?)?);
-        let limit = Instant::now();
-        loop {
-            if let Some(code) = member.lock().process.exited() {
-                return match code {
-                    0 => Ok(()),
-                    _ => Err(format!("exit code {code}")),
-                };
-            }
-            if limit.elapsed().as_secs() > 60 {
-                return Err("it does not exit".to_owned());
-            }
-            task::sleep(std::time::Duration::from_millis(SAMPLE_MS)).await;
-        }
-    }
-
-    /// Cuts or heals a link; `oneway` for one direction only.
-    fn change_link(&mut self, step: &Step) -> Result<(), String> {
-        let (one, two) = (step.word(0)?, step.word(1)?);
-        let from = self.world.endpoints(one)?;
-        let to = self.world.endpoints(two)?;
-        let oneway = step.words.get(2).is_some_and(|word| word == "oneway");
-        let forth = LinkRule { from: from.clone(), to: to.clone(), effect: LinkEffect::Cut };
-        let back = LinkRule { from: to, to: from, effect: LinkEffect::Cut };
-        for rule in [forth, back].into_iter().take(if oneway { 1 } else { 2 }) {
-            match step.verb.as_str() {
-                "cut" => self.world.relay.add(rule),
-                _ => self.world.relay.remove(&rule),
-            }
-        }
-        Ok(())
-    }
-
-    fn set_table(&mut self, step: &Step) -> Result<(), String> {
-        let fault = match step.word(0)? {
-            "up" => TableFault::None,
-            "down" => TableFault::Down,
-            "slow" => TableFault::Slow { delay_ms: step.number("delay_ms", 500)? },
-            "lose-answers" => TableFault::LoseAnswers { count: step.number("count", 1)? },
-            other => return Err(format!("no table fault `{other}`")),
-        };
-        self.world.platform.set_table_fault(fault);
-        Ok(())
-    }
-
-    fn kill(&mut self, step: &Step) -> Result<(), String> {
-        self.world.member_mut(step.word(0)?)?.process.kill();
-        Ok(())
-    }
-
-    fn set_list(&mut self, step: &Step) -> Result<(), String> {
-        self.world.platform.set_list_down(step.word(0)? == "down");
-        Ok(())
-    }
-
-    fn change_list(&mut self, step: &Step) -> Result<(), String> {
-        let member = self.world.member(step.word(0)?)?;
-        match step.verb.as_str() {
-            "unlist" => self.world.platform.unlist_vm(member.addr()),
-            _ => self.world.platform.list_vm(self.world.vm(member)),
-        }
-        Ok(())
-    }
-
-    /// Lets a target leave: it says so itself, or only the list does.
-    async fn leave(&mut self, step: &Step) -> Result<(), String> {
-        let target = self.world.member(step.word(0)?)?;
-        self.leaving.push((target.private_addr().to_string(), unix_ms()));
-        match step.option("by") {
-            Some("list") => self.world.platform.mark_leaving(target.addr()),
-            // Only the record says so; for scenarios in which nobody acts on it.
-            Some("record") => {}
-            _ => self.control(target.private_addr(), &json!({ "do": "leave" })).await?,
-        }
-        Ok(())
-    }
-
-    async fn set_mode(&mut self, step: &Step) -> Result<(), String> {
-        let target = self.world.member(step.word(0)?)?.private_addr();
-        let mode = step.word(1)?.replace('-', "_");
-        self.control(target, &json!({ "do": "mode", "mode": mode })).await
-    }
-
-    async fn add(&mut self, step: &Step) -> Result<(), String> {
-        let kind = match step.word(0)? {
-            "entry" => Kind::Entry,
-            "dispatch" => Kind::Dispatch,
-            "target" => Kind::Target,
-            other => return Err(format!("no kind `{other}`")),
-        };
-        self.world.add(kind, step.number("zone", 1)?, step.number("at", 9)?).await
-    }
-
     /// Adds made-up evidence, to show that the checker sees it.
     fn plant(&mut self, step: &Step) -> Result<(), String> {
         match step.word(0)? {
@@ -492,16 +294,6 @@
         }
     }
 
-    async fn control(&self, addr: std::net::SocketAddr, body: &Value) -> Result<(), String> {
-        let body = body.to_string().into_bytes();
-        let sent = self.world.client.post(addr, "/control", body, CONTROL_TIMEOUT_MS).await;
-        match sent {
-            Ok(reply) if reply.status.is_success() => Ok(()),
-            Ok(reply) => Err(format!("status {}", reply.status)),
-            Err(error) => Err(error.to_string()),
-        }
-    }
-
     fn submission(&self, name: &str) -> Result<&Submission, String> {
         let found = self.submissions.iter().find(|submission| submission.name == name);
         found.ok_or_else(|| format!("no submission `{name}`"))
@@ -574,18 +366,6 @@
     Ok(String::from_utf8_lossy(&response).into_owned())
 }
 
-fn context() -> ChangeContext {
-    ChangeContext::new("scenario", format!("{:032x}", rand::random::<u128>()), unix_ms())
-}
-
-fn edited(settings: Settings, step: &Step) -> Result<Settings, String> {
-    let mut value = serde_json::to_value(settings).map_err(|error| error.to_string())?;
-    for (field, text) in step.options() {
-        value[field] = serde_json::from_str(text).unwrap_or_else(|_| json!(text));
-    }
-    serde_json::from_value(value).map_err(|error| error.to_string())
-}
-
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
