--- a/crates/entry/src/moved.rs
+++ b/crates/entry/src/moved.rs
@@ -35,8 +35,10 @@
 }
 
 /// Homes that drained.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct MovedHomes {
+    /// The most bytes of sealed tables that are kept.
+    most_bytes: usize,
     state: RwLock<State>,
 }
 
@@ -52,6 +54,10 @@
 }
 
 impl MovedHomes {
+    pub(crate) fn new(most_bytes: usize) -> Self {
+        MovedHomes { most_bytes, state: RwLock::default() }
+    }
+
     /// Records who holds the sealed table of a home.
     pub(crate) fn learn(&self, home: HomeId, holders: &[SocketAddr], now_ms: u64) {
         let mut state = self.state.write();
@@ -72,18 +78,26 @@
         }
     }
 
-    /// Keeps a part of a sealed table.
-    pub(crate) fn adopt(&self, part: SealedTable, holders: &[SocketAddr], now_ms: u64) {
-        self.learn(part.home(), holders, now_ms);
-        if part.sessions() == 0 {
-            return;
+    /// Keeps a part of a sealed table; returns whether there was room for it.
+    pub(crate) fn adopt(&self, part: SealedTable, holders: &[SocketAddr], now_ms: u64) -> bool {
+        let home = part.home();
+        if part.sessions() > 0 && self.table_bytes() + part.bytes() > self.most_bytes {
+            return false;
         }
+        self.learn(home, holders, now_ms);
         let mut state = self.state.write();
-        let Ok(at) = state.position(part.home()) else { return };
+        let Ok(at) = state.position(home) else { return false };
         match &mut state.homes[at].table {
+            _ if part.sessions() == 0 => {}
             Some(table) => table.merge(part),
             none => *none = Some(part),
         }
+        true
+    }
+
+    fn table_bytes(&self) -> usize {
+        let state = self.state.read();
+        state.homes.iter().filter_map(|moved| moved.table.as_ref()).map(SealedTable::bytes).sum()
     }
 
     /// Returns what the sealed table of a session's home says, if it is kept here.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -33,6 +33,8 @@
 
 const MESSAGE_BYTES: usize = 80 << 20;
 const EVICT_MS: u64 = 10_000;
+/// How many full tables of drained homes a process can keep.
+const SEALED_PER_RETAINED: usize = 2;
 
 /// An entry process that could not start.
 #[derive(Debug)]
@@ -68,7 +70,7 @@
         let id = HomeId::new(rpc_addr, Incarnation(rand::random()));
         let outside = Outside::new(&settings);
         let home = outside.home(id, &settings);
-        let moved = Arc::new(MovedHomes::default());
+        let moved = Arc::new(MovedHomes::new(SEALED_PER_RETAINED * settings.limits.retained_bytes));
         let peers = Arc::new(outside.peers(id, Arc::clone(&moved), &settings));
         let router = Arc::new(Router::new(
             Arc::clone(&home),
@@ -128,7 +130,11 @@
 impl Outside {
     fn new(settings: &EntrySettings) -> Self {
         let clock = Clock::start();
-        let limits = ClientLimits { source_ip: settings.source_ip, ..ClientLimits::default() };
+        let limits = ClientLimits {
+            source_ip: settings.source_ip,
+            body_bytes: settings.answer_bytes,
+            ..ClientLimits::default()
+        };
         let client = Arc::new(HttpClient::new(limits));
         let channels = Arc::new(Channels::new(settings.source_ip));
         let table: Arc<dyn Table> =
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -91,10 +91,13 @@
         let part: SealedTable =
             serde_json::from_str(&message.table).map_err(|error| invalid(error.to_string()))?;
         let holders = addrs_from(&message.holders).map_err(|error| invalid(error.to_string()))?;
-        if part.sessions() > 0 {
-            log_event!(info, TableAdopted, home = %part.home(), sessions = part.sessions());
+        let (home, sessions) = (part.home(), part.sessions());
+        if !self.moved.adopt(part, &holders, self.clock.now_ms()) {
+            return Err(Status::resource_exhausted("no room for another sealed table"));
+        }
+        if sessions > 0 {
+            log_event!(info, TableAdopted, home = %home, sessions);
         }
-        self.moved.adopt(part, &holders, self.clock.now_ms());
         Ok(Response::new(HandoffReply {}))
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -56,6 +56,8 @@
     pub source_ip: Option<IpAddr>,
     /// The most bytes of a submission.
     pub body_bytes: usize,
+    /// The most bytes of the answer of one task.
+    pub answer_bytes: usize,
     /// The most connections of callers.
     pub connections: usize,
     /// Bounds on sessions and answers.
--- a/crates/greengagebeam/src/bin/ggb-demo.rs
+++ b/crates/greengagebeam/src/bin/ggb-demo.rs
@@ -138,6 +138,7 @@
         seeds: Vec::new(),
         source_ip: None,
         body_bytes: 16 << 20,
+        answer_bytes: 8 << 20,
         connections: 1_024,
         limits: Limits::default(),
         placer: Placer::Leases,
--- a/crates/greengagebeam/src/entry_args.rs
+++ b/crates/greengagebeam/src/entry_args.rs
@@ -45,6 +45,9 @@
     /// The most bytes of one submission
     #[bpaf(long, env("GGB_BODY_BYTES"), argument("BYTES"), fallback("16777216".to_owned()), display_fallback)]
     pub body_bytes: String,
+    /// The most bytes of the answer of one task; a larger one fails the job
+    #[bpaf(long, env("GGB_ANSWER_BYTES"), argument("BYTES"), fallback("8388608".to_owned()), display_fallback)]
+    pub answer_bytes: String,
     /// The most connections of callers
     #[bpaf(long, env("GGB_CONNECTIONS"), argument("N"), fallback("8192".to_owned()), display_fallback)]
     pub connections: String,
@@ -97,6 +100,8 @@
         let count = "1 to 10000000";
         let bytes = "1024 to 1073741824 bytes";
         let body_bytes = checked.number("body-bytes", &self.body_bytes, 1_024..=1 << 30, bytes);
+        let answer_bytes =
+            checked.number("answer-bytes", &self.answer_bytes, 1_024..=1 << 30, bytes);
         let connections = checked.number("connections", &self.connections, 1..=10_000_000, count);
         let placer: Option<Placer> =
             checked.value("placer", &self.placer, "`leases`, `random` or `two-choices`");
@@ -113,6 +118,7 @@
                 seeds,
                 source_ip,
                 body_bytes: body_bytes as usize,
+                answer_bytes: answer_bytes as usize,
                 connections: connections as usize,
                 limits,
                 placer: placer?,
--- a/crates/session/src/sealed.rs
+++ b/crates/session/src/sealed.rs
@@ -55,6 +55,11 @@
         self.sessions.len()
     }
 
+    /// Returns about how many bytes the table takes.
+    pub fn bytes(&self) -> usize {
+        self.sessions.iter().map(SealedSession::bytes).sum()
+    }
+
     /// Splits the table into parts of at most about `bytes` bytes of answers.
     ///
     /// Each part can be delivered alone; [`SealedTable::merge`] joins them.
@@ -112,8 +117,9 @@
 
 impl SealedSession {
     fn bytes(&self) -> usize {
-        let answers = self.answers.iter().filter_map(|sealed| sealed.answer.as_ref());
-        size_of::<SealedSession>() + answers.map(Answer::bytes).sum::<usize>()
+        let text = |sealed: &SealedAnswer| sealed.answer.as_ref().map_or(0, Answer::bytes);
+        let answers = self.answers.iter().map(|sealed| size_of::<SealedAnswer>() + text(sealed));
+        size_of::<SealedSession>() + answers.sum::<usize>()
     }
 }
 
--- a/crates/session/src/table.rs
+++ b/crates/session/src/table.rs
@@ -7,6 +7,9 @@
     entry::{Answer, Entry, Fingerprint, Session, State},
 };
 
+/// After how long a home that is full may have room again.
+const OVERLOADED_RETRY_MS: u32 = 500;
+
 /// Bounds on what a home keeps.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -163,7 +166,7 @@
             Err(at) => at,
         };
         let state = match refusal {
-            Some(reason) => State::Finished(Answer::new(&Outcome::not_run(reason))),
+            Some(refusal) => State::Finished(Answer::new(&Outcome::NotRun(refusal))),
             None => State::Running,
         };
         let entry = Entry { sequence, fingerprint: Some(fingerprint), state: state.clone() };
@@ -309,13 +312,14 @@
         self.retained_bytes
     }
 
-    const fn admission_refusal(&self) -> Option<RefusalReason> {
+    const fn admission_refusal(&self) -> Option<Refusal> {
         if self.draining {
-            Some(RefusalReason::Draining)
+            Some(Refusal { reason: RefusalReason::Draining, retry_after_ms: None })
         } else if self.running_jobs >= self.limits.running_jobs
             || self.retained_bytes >= self.limits.retained_bytes
         {
-            Some(RefusalReason::Overloaded)
+            let retry_after_ms = Some(OVERLOADED_RETRY_MS);
+            Some(Refusal { reason: RefusalReason::Overloaded, retry_after_ms })
         } else {
             None
         }
