--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -53,6 +53,7 @@
     pub(crate) async fn follow(self: Arc<Self>) {
         loop {
             let mut peers = self.known();
+            self.forget_all_but(&peers);
             peers.truncate(PEERS_PER_EXCHANGE);
             self.ask(&peers).await;
             self.moved.evict(self.clock.now_ms());
@@ -74,6 +75,15 @@
         }
     }
 
+    /// Closes channels to processes that are gone; calls in progress keep theirs.
+    fn forget_all_but(&self, peers: &[SocketAddr]) {
+        let mut known = peers.to_vec();
+        known.sort();
+        let is_known = |addr: SocketAddr| known.binary_search(&addr).is_ok();
+        self.channels.retain(is_known);
+        self.heard.peers.lock().retain(|(addr, ..)| is_known(*addr));
+    }
+
     async fn ask(&self, peers: &[SocketAddr]) {
         join_all(peers.iter().map(|peer| self.ask_one(*peer))).await;
     }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -74,6 +74,11 @@
             r.busy.iter().map(|(phase, busy)| format!("{phase} {busy:.3}")).collect();
         phases.join(", ")
     });
+    row("work of complete jobs due in a phase, as a share of slots", &|r| {
+        let phases: Vec<_> =
+            r.goodput.iter().map(|(phase, share)| format!("{phase} {share:.3}")).collect();
+        phases.join(", ")
+    });
     row("seconds until nothing waits after the busiest phase", &|r| {
         r.recovery_s.map_or("not seen".to_owned(), |seconds| format!("{seconds:.1}"))
     });
--- a/crates/load/src/results.rs
+++ b/crates/load/src/results.rs
@@ -68,6 +68,8 @@
     pub seconds: Vec<Second>,
     /// Mean share of occupied slots by phase.
     pub busy: Vec<(&'static str, f64)>,
+    /// Work of complete jobs that were due in a phase, as a share of all slots.
+    pub goodput: Vec<(&'static str, f64)>,
     /// Tasks started, by the entry processes' own count.
     pub starts: f64,
     /// Messages of ours.
--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -21,7 +21,7 @@
 use serde_json::Value;
 
 use crate::{
-    ClassResults, Deployment, Job, LoadError, Results, Second, Workload,
+    ClassResults, Deployment, Job, LoadError, Phase, Results, Second, Workload,
     caller::{Reply, Session},
     collect::{read_counters, read_load, read_status, read_usage},
 };
@@ -87,12 +87,14 @@
         usage_before.iter().find(|u| u.role == role).map_or(0.0, |usage| usage.cpu_seconds)
     };
     let classes = shared.classes.lock().clone();
+    let goodput = goodput_by_phase(workload, &classes, deployment.slots);
     let send_lag_us = shared.send_lag_us.lock().value_at_quantile(0.99);
     Ok(Results {
         deployment: deployment.name.clone(),
         workload: workload.name,
         seed,
         classes,
+        goodput,
         busy: busy_by_phase(workload, &seconds),
         recovery_s: recovery(workload, &seconds),
         seconds,
@@ -191,6 +193,19 @@
     busy
 }
 
+fn goodput_by_phase(
+    workload: &Workload,
+    classes: &[ClassResults],
+    slots: u32,
+) -> Vec<(&'static str, f64)> {
+    let share = |phase: &Phase| {
+        let own = classes.iter().filter(|class| class.phase == phase.name);
+        let work_ms: u64 = own.map(|class| class.work_ms).sum();
+        (phase.name, work_ms as f64 / (f64::from(slots) * phase.seconds * 1e3))
+    };
+    workload.phases.iter().map(share).collect()
+}
+
 /// Returns how long after the busiest phase something still waits at dispatchers.
 fn recovery(workload: &Workload, seconds: &[Second]) -> Option<f64> {
     let busiest = workload.phases.iter().map(|phase| phase.to).fold(0.0, f64::max);
