--- a/crates/greengagebeam/src/bin/ggb-load.rs
+++ b/crates/greengagebeam/src/bin/ggb-load.rs
@@ -16,7 +16,7 @@
     /// Run a workload against one deployment, or side by side against several
     #[bpaf(command)]
     Run {
-        /// The workload: half-load, crest, blocking, saturday-rush or before-the-bell
+        /// The workload: half-load, overload, blocking, saturday-rush or before-the-bell
         #[bpaf(long, argument("NAME"))]
         workload: String,
         /// The seed; the same seed submits the same jobs
--- a/crates/greengagebeam/tests/harness/naive.rs
+++ b/crates/greengagebeam/tests/harness/naive.rs
@@ -20,8 +20,8 @@
     Forward,
     /// Leaves out the answers of tasks that failed.
     SkipFailed,
-    /// Says "not run" when it loses patience, though it has started.
-    Impatient,
+    /// Refuses as "not run" after a timeout, though it has started.
+    RefuseAfterStart,
 }
 
 impl std::str::FromStr for Habit {
@@ -31,7 +31,7 @@
         match word {
             "forward" => Ok(Habit::Forward),
             "skip-failed" => Ok(Habit::SkipFailed),
-            "impatient" => Ok(Habit::Impatient),
+            "refuse-after-start" => Ok(Habit::RefuseAfterStart),
             _ => Err(format!("no habit `{word}`")),
         }
     }
@@ -62,7 +62,7 @@
     }
     let outcome = match habit {
         Habit::Forward | Habit::SkipFailed => json!({ "outcome": "complete", "answers": answers }),
-        Habit::Impatient => json!({ "outcome": "not_run", "reason": "overloaded" }),
+        Habit::RefuseAfterStart => json!({ "outcome": "not_run", "reason": "overloaded" }),
     };
     Observed {
         submission: submission.name.clone(),
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -13,7 +13,7 @@
 
 /// The names of all workloads.
 pub const WORKLOADS: &[&str] =
-    &["half-load", "crest", "blocking", "saturday-rush", "before-the-bell"];
+    &["half-load", "overload", "blocking", "saturday-rush", "before-the-bell"];
 
 /// A class of work, with its own profile.
 #[derive(Clone, Debug)]
@@ -90,7 +90,7 @@
     pub fn named(name: &str) -> Option<Self> {
         match name {
             "half-load" => Some(half_load()),
-            "crest" => Some(crest()),
+            "overload" => Some(overload()),
             "blocking" => Some(blocking()),
             "saturday-rush" => Some(saturday_rush()),
             "before-the-bell" => Some(before_the_bell()),
@@ -197,17 +197,17 @@
 }
 
 /// Demand goes to three times the slots within 2 s, stays there and falls back.
-fn crest() -> Workload {
+fn overload() -> Workload {
     let mut standard = class("standard", Priority::Standard, 0.9);
     standard.settings.start_within_ms = 1_000;
     Workload {
-        name: "crest",
+        name: "overload",
         classes: vec![class("urgent", Priority::Urgent, 0.1), standard],
         phases: vec![
             phase("warm-up", 4.0, 0.8, 0.8),
             phase("base", 6.0, 0.8, 0.8),
             phase("ramp", 2.0, 0.8, 3.0),
-            phase("crest", 10.0, 3.0, 3.0),
+            phase("overload", 10.0, 3.0, 3.0),
             phase("after", 8.0, 0.5, 0.5),
         ],
     }
@@ -240,9 +240,9 @@
         classes: vec![bookings, quotes, confirmations],
         phases: vec![
             phase("warm-up", 3.0, 0.6, 0.6),
-            phase("morning", 5.0, 0.6, 0.6),
-            phase("rush", 8.0, 1.8, 1.8),
-            phase("noon", 6.0, 0.5, 0.5),
+            phase("base", 5.0, 0.6, 0.6),
+            phase("peak", 8.0, 1.8, 1.8),
+            phase("after", 6.0, 0.5, 0.5),
         ],
     }
 }
@@ -266,9 +266,9 @@
         classes: vec![check_ins, flags, tallies],
         phases: vec![
             phase("warm-up", 5.0, 0.5, 0.5),
-            phase("queue", 6.0, 0.5, 1.5),
-            phase("bell", 6.0, 1.5, 1.5),
-            phase("class", 6.0, 0.4, 0.4),
+            phase("ramp", 6.0, 0.5, 1.5),
+            phase("peak", 6.0, 1.5, 1.5),
+            phase("after", 6.0, 0.4, 0.4),
         ],
     }
 }
