--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -37,6 +37,10 @@
 /// of; clocks may differ by seconds.
 const TOKEN_LEAP: u64 = 10_000 * TOKEN_STEP;
 
+/// The room that a zone keeps for its own jobs when it is asked for some: what is free may
+/// be taken before the job arrives.
+const LENDING_RESERVE_TASKS: u64 = 3;
+
 /// The part of a token that tells claims of the same millisecond apart.
 const TOKEN_STEP: u64 = 1_000;
 
@@ -68,10 +72,8 @@
     pub heard: Vec<HeardClaim>,
     /// The version of the configuration that it has in force, 0 for none.
     pub configuration_version: u64,
-    /// The processor time free on its targets, in thousandths of a core, if it is an owner.
-    pub free_cpu_milli: u64,
-    /// The processor time that waiting tasks ask of it.
-    pub queued_cpu_milli: u64,
+    /// How many tasks of the usual size its targets have room for, if it is an owner.
+    pub free_tasks: u64,
 }
 
 /// A claim of another VM.
@@ -105,9 +107,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Follower,
-    Owner { token: u64 },
+    Owner {
+        token: u64,
+    },
     /// Lost its claim to a token that it has not heard of.
-    Fenced { since_ms: u64 },
+    Fenced {
+        since_ms: u64,
+    },
 }
 
 /// What changed for this VM.
@@ -206,6 +212,23 @@
         claims.max_by_key(|peer| peer.heartbeat.claim)
     }
 
+    /// Returns the owner of another zone that was heard to have room for `tasks` more, and
+    /// counts the room as taken until the owner is heard again.
+    pub fn borrow_room(&mut self, tasks: u64, now_ms: u64) -> Option<Node> {
+        let Ownership { own, peers, .. } = self;
+        let lenders = peers.iter_mut().filter(|peer| {
+            let heartbeat = &peer.heartbeat;
+            heartbeat.claim.is_some()
+                && heartbeat.node.zone != own.zone
+                && !heartbeat.leaving
+                && heartbeat.free_tasks >= tasks + LENDING_RESERVE_TASKS
+                && peer.is_alive(now_ms)
+        });
+        let lender = lenders.max_by_key(|peer| peer.heartbeat.free_tasks)?;
+        lender.heartbeat.free_tasks -= tasks;
+        Some(lender.heartbeat.node.clone())
+    }
+
     /// Returns what this VM tells its peers, without load and configuration.
     pub fn heartbeat(&self, now_ms: u64) -> Heartbeat {
         let heard = self.peers.iter().filter(|peer| peer.is_alive(now_ms));
@@ -222,8 +245,7 @@
             claim: self.claim(),
             heard: heard.collect(),
             configuration_version: 0,
-            free_cpu_milli: 0,
-            queued_cpu_milli: 0,
+            free_tasks: 0,
         }
     }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -18,12 +18,13 @@
 use ggb_http::{
     HttpError, HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body,
 };
-use ggb_placement::{JobAnswer, JobId, RefusalReason, Submission};
+use ggb_placement::{JobAnswer, JobId, Lending, RefusalReason, Submission};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode, headers::RETRY_AFTER};
 use serde_json::json;
 
 use crate::{
+    lending::{dispatch, lend},
     owner::Owner,
     peer_api::{JobReply, send_job},
     shared::Shared,
@@ -109,14 +110,13 @@
         job,
         queue: queue.rules.clone(),
         resumed: false,
-        lent: false,
+        lending: Lending::Allowed,
+        done: Vec::new(),
         waited_ms: 0,
     };
     let deadline_ms = asked.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let answer = timeout(
-        Duration::from_millis(deadline_ms),
-        run_job(shared, submission, received_at_ms),
-    );
+    let answer =
+        timeout(Duration::from_millis(deadline_ms), run_job(shared, submission, received_at_ms));
     let closed = async {
         match &connection {
             Some(connection) => connection.closed().await,
@@ -125,7 +125,10 @@
     };
     pin_mut!(answer, closed);
     let (outcome, response) = match select(answer, closed).await {
-        Either::Left((Ok(answer), _)) => (Some(answer), job_response(answer)),
+        Either::Left((Ok(answer), _)) => {
+            let response = job_response(&answer);
+            (Some(answer), response)
+        }
         Either::Left((Err(_), _)) => (None, None),
         Either::Right(_) => {
             log_event!(info, RequestAnswered, job = %id, outcome = "caller left");
@@ -165,19 +168,24 @@
     loop {
         submission.waited_ms = shared.now_ms() - received_at_ms;
         let (offered, replied) = match route(shared) {
-            Route::Local(owner) => {
-                let answer = owner.submit(submission.clone()).answer().await;
-                (true, Ok(JobReply::Answered(answer)))
-            }
-            Route::Remote(ip) => {
-                (true, send_job(shared, shared.peer_addr(ip), &submission).await)
-            }
+            Route::Local(owner) => (true, Ok(dispatch(shared, &owner, submission.clone()).await)),
+            Route::Remote(ip) => (true, send_job(shared, shared.peer_addr(ip), &submission).await),
             Route::None => (false, Err(Sent::No)),
         };
         match replied {
-            Ok(JobReply::Answered(JobAnswer::Moved)) => submission.resumed |= offered,
+            Ok(JobReply::Answered(JobAnswer::Moved { done })) => {
+                submission.resumed |= offered;
+                submission.done.extend(done);
+            }
             Ok(JobReply::Answered(answer)) => return answer,
             Ok(JobReply::Pending) => continue,
+            Ok(JobReply::Elsewhere(lender)) => match lend(shared, &lender, &submission).await {
+                Some(answer) => return answer,
+                None => {
+                    submission.lending = Lending::Over;
+                    continue;
+                }
+            },
             Err(Sent::Maybe) => {
                 submission.resumed = true;
                 log_event!(info, RequestResumed, job = %submission.job.id);
@@ -194,8 +202,7 @@
 }
 
 fn refusal(reason: &str, retry_after_ms: u64) -> Response {
-    let mut response =
-        json_response(StatusCode::ServiceUnavailable, &json!({ "error": reason }));
+    let mut response = json_response(StatusCode::ServiceUnavailable, &json!({ "error": reason }));
     if retry_after_ms > 0 {
         response.insert_header(RETRY_AFTER, retry_after_ms.div_ceil(1_000).to_string());
     }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -62,7 +62,9 @@
 /// Asks a peer for its configuration, which is newer than this process's.
 pub(crate) async fn fetch_from_peer(shared: Arc<Shared>, ip: IpAddr) {
     let addr = shared.peer_addr(ip);
-    let Ok(reply) = shared.http.fetch(addr, "/configuration", PEER_TIMEOUT_MS).await else { return };
+    let Ok(reply) = shared.http.fetch(addr, "/configuration", PEER_TIMEOUT_MS).await else {
+        return;
+    };
     match serde_json::from_slice(&reply.body) {
         Ok(configuration) => apply(&shared, configuration, "peer"),
         Err(error) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,12 +9,14 @@
 //! * `callers` answers callers and passes jobs on to the owner.
 //! * `owner` drives a [`ggb_placement::Dispatcher`]: it sends orders to targets and asks
 //!   them for listings.
+//! * `lending` passes a job that has to wait on to a zone that has room.
 //! * `peers` tells the other processes that this one lives, and hears them.
 //! * `directory` and `configuration` follow the platform's store.
 
 mod callers;
 mod configuration;
 mod directory;
+mod lending;
 mod metrics;
 mod owner;
 mod peer_api;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the process.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 use ggb_telemetry::Gauges;
 
@@ -62,7 +64,11 @@
             requests: counters("ggb_requests_total", "Requests of callers", &["answer"]),
             response_ms,
             orders: counters("ggb_orders_total", "Orders to targets", &["kind", "outcome"]),
-            store_calls: counters("ggb_store_calls_total", "Calls to the store", &["call", "result"]),
+            store_calls: counters(
+                "ggb_store_calls_total",
+                "Calls to the store",
+                &["call", "result"],
+            ),
             cpu_milli: gauges("ggb_target_cpu_milli", "Processor time of the zone's targets"),
             targets: gauges("ggb_owned_targets", "Targets of the zone"),
             jobs: gauge("ggb_jobs", "Jobs that the dispatcher has not finished"),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -60,7 +60,7 @@
 impl Waiter {
     /// Returns the answer of the job.
     pub(crate) async fn answer(&mut self) -> JobAnswer {
-        (&mut self.answer).await.unwrap_or(JobAnswer::Moved)
+        (&mut self.answer).await.unwrap_or(JobAnswer::Moved { done: Vec::new() })
     }
 }
 
@@ -104,6 +104,11 @@
         self.core.lock().dispatcher.load()
     }
 
+    /// Returns whether a job is new here and could not start with all its first tasks.
+    pub(crate) fn would_wait(&self, submission: &Submission) -> bool {
+        self.core.lock().dispatcher.would_wait(submission, self.shared.now_ms())
+    }
+
     /// Queues a job; the returned place in the queue gives its answer.
     pub(crate) fn submit(self: &Arc<Self>, submission: Submission) -> Waiter {
         let (sender, answer) = oneshot::channel();
@@ -116,7 +121,7 @@
         };
         let waiter = Waiter { owner: Arc::clone(self), ticket, answer };
         if self.stopped.load(Ordering::Relaxed) {
-            self.settle(ticket, JobAnswer::Moved);
+            self.settle(ticket, JobAnswer::Moved { done: Vec::new() });
             return waiter;
         }
         self.with(|dispatcher, now_ms| dispatcher.submit(submission, ticket, now_ms));
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -6,12 +6,13 @@
 use ggb_http::{
     HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body, text_response,
 };
+use ggb_membership::Node;
 use ggb_placement::{JobAnswer, Submission};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::shared::Shared;
+use crate::{lending::dispatch, shared::Shared};
 
 /// How long an owner holds back the answer of a job that has not ended. Bounds the time
 /// for which a process that lost its connection without noticing keeps its jobs running.
@@ -24,13 +25,15 @@
 const SUBMISSION_BYTES: usize = 1 << 20;
 
 /// What an owner says of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum JobReply {
     /// It has ended, or was refused.
     Answered(JobAnswer),
     /// It goes on; to be asked again at once.
     Pending,
+    /// It would have to wait, and was not taken; another owner has room for it.
+    Elsewhere(Node),
 }
 
 /// Binds the address for messages of other processes.
@@ -80,10 +83,10 @@
     connection: Option<PeerConnection>,
 ) -> Response {
     let Some(owner) = shared.owner.load_full() else {
-        return json_response(StatusCode::Ok, &JobReply::Answered(JobAnswer::Moved));
+        let moved = JobAnswer::Moved { done: Vec::new() };
+        return json_response(StatusCode::Ok, &JobReply::Answered(moved));
     };
-    let mut waiter = owner.submit(submission);
-    let answer = timeout(Duration::from_millis(JOB_WAIT_MS), waiter.answer());
+    let answer = timeout(Duration::from_millis(JOB_WAIT_MS), dispatch(shared, &owner, submission));
     let closed = async {
         match &connection {
             Some(connection) => connection.closed().await,
@@ -92,9 +95,7 @@
     };
     futures::pin_mut!(answer, closed);
     match futures::future::select(answer, closed).await {
-        futures::future::Either::Left((Ok(answer), _)) => {
-            json_response(StatusCode::Ok, &JobReply::Answered(answer))
-        }
+        futures::future::Either::Left((Ok(answer), _)) => json_response(StatusCode::Ok, &answer),
         futures::future::Either::Left((Err(_), _)) => {
             json_response(StatusCode::Ok, &JobReply::Pending)
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -115,7 +115,8 @@
 }
 
 /// Sends a heartbeat to the processes of the zone, and with `far` to others too: an owner
-/// to all of them, any other process to the owners.
+/// to all of them, any other process to the owners. Owners tell each other of their room
+/// each time.
 async fn send(shared: &Shared, socket: &UdpSocket, far: bool) {
     let now_ms = shared.now_ms();
     let load = shared.owner.load().as_ref().map(|owner| owner.load()).unwrap_or_default();
@@ -123,8 +124,7 @@
     let (heartbeat, far_known, near_known) = {
         let ownership = shared.ownership.lock();
         let mut heartbeat = ownership.heartbeat(now_ms);
-        heartbeat.free_cpu_milli = load.free_cpu_milli;
-        heartbeat.queued_cpu_milli = load.queued_cpu_milli;
+        heartbeat.free_tasks = load.free_tasks;
         let is_near = |ip: IpAddr| {
             let mut peers = ownership.peers().iter();
             peers.find(|peer| peer.heartbeat.node.ip == ip).map(|peer| {
@@ -144,7 +144,10 @@
     let message = serde_json::to_vec(&heartbeat).expect("heartbeats have only string keys");
     let far_addrs = far_known
         .iter()
-        .filter(|(_, known)| far && (is_owner || known.is_some_and(|(_, owner)| owner)))
+        .filter(|(_, known)| {
+            let to_owner = known.is_some_and(|(_, owner)| owner);
+            (is_owner && to_owner) || (far && (is_owner || to_owner))
+        })
         .map(|(ip, _)| *ip);
     for ip in near_known.iter().map(|(ip, _)| *ip).chain(far_addrs) {
         // A heartbeat that can't be sent is as good as a lost one.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -61,6 +61,8 @@
 pub struct NodeProcess {
     shared: Arc<Shared>,
     callers: HttpServer,
+    /// Serve as long as they are kept.
+    _servers: (HttpServer, HttpServer, OperatorServer),
 }
 
 impl NodeProcess {
@@ -94,17 +96,17 @@
         let failed = |part, addr| move || NodeError { part, addr };
         let peer_addr = shared.peer_addr(shared.settings.ip);
         let peer_api = bind_peer_api(Arc::clone(&shared), peer_addr).await;
-        peer_api.change_context_lazy(failed("messages of peers", peer_addr))?;
+        let peer_api = peer_api.change_context_lazy(failed("messages of peers", peer_addr))?;
         let heartbeats = spawn_heartbeats(Arc::clone(&shared)).await;
         heartbeats.change_context_lazy(failed("heartbeats", peer_addr))?;
         task::spawn(follow_nodes(Arc::clone(&shared)));
         task::spawn(follow_configuration(Arc::clone(&shared)));
         task::spawn(follow_targets(Arc::clone(&shared)));
         let operator = OperatorServer::bind(operator_addr, Arc::new(Status(Arc::clone(&shared))));
-        operator.await.change_context_lazy(failed("operators", operator_addr))?;
+        let operator = operator.await.change_context_lazy(failed("operators", operator_addr))?;
         let ready_addr = shared.settings.ready_addr;
         let ready = bind_ready(Arc::clone(&shared), ready_addr).await;
-        ready.change_context_lazy(failed("the balancer", ready_addr))?;
+        let ready = ready.change_context_lazy(failed("the balancer", ready_addr))?;
         let caller_addr = shared.settings.caller_addr;
         let callers = bind_callers(Arc::clone(&shared), caller_addr).await;
         let callers = callers.change_context_lazy(failed("callers", caller_addr))?;
@@ -112,7 +114,7 @@
             info, Started, vm = shared.settings.name, zone = %shared.settings.zone,
             callers = %caller_addr
         );
-        Ok(NodeProcess { shared, callers })
+        Ok(NodeProcess { shared, callers, _servers: (peer_api, ready, operator) })
     }
 
     /// Hands the targets over, answers what is in progress and returns.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -42,7 +42,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: NodeSettings, clock: Clock, http: Arc<HttpClient>, own: Ownership) -> Self {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        clock: Clock,
+        http: Arc<HttpClient>,
+        own: Ownership,
+    ) -> Self {
         let store = Store::new(Arc::clone(&http), settings.store_addr);
         Shared {
             settings,
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Target, TargetInfo,
+    JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Submission, Target, TargetInfo,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -116,6 +116,8 @@
     pub free_cpu_milli: u64,
     /// The processor time that waiting tasks ask for.
     pub queued_cpu_milli: u64,
+    /// How many tasks of the usual size could start now.
+    pub free_tasks: u64,
     /// Jobs that have not ended.
     pub jobs: usize,
     /// Targets, and how many of them are sound.
@@ -148,6 +150,8 @@
     actions: Vec<Action>,
     looked_at: Vec<(Arc<str>, u64)>,
     fenced: bool,
+    /// The processor time that a task usually takes.
+    usual_cpu_milli: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -170,6 +174,7 @@
             actions: Vec::new(),
             looked_at: Vec::new(),
             fenced: false,
+            usual_cpu_milli: 0,
         }
     }
 
@@ -201,17 +206,33 @@
 
     /// Returns how busy the targets are.
     pub fn load(&self) -> Load {
-        let mut load = Load { jobs: self.jobs.len(), targets: self.targets.len(), ..Load::default() };
+        let mut load =
+            Load { jobs: self.jobs.len(), targets: self.targets.len(), ..Load::default() };
         for target in self.targets.iter().filter(|target| target.is_sound()) {
             load.sound_targets += 1;
             load.total_cpu_milli += target.info().capacity.cpu_milli;
             load.free_cpu_milli += target.free().cpu_milli;
+            load.free_tasks += target.free().cpu_milli / self.usual_cpu_milli.max(1);
         }
         let waiting = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
         load.queued_cpu_milli = waiting.map(JobState::waiting_cpu_milli).sum();
         load
     }
 
+    /// Returns whether a job is new here and could not start with all its first tasks.
+    pub fn would_wait(&self, submission: &Submission, now_ms: u64) -> bool {
+        let id = submission.job.id;
+        let is_answered = self.answers.binary_search_by_key(&id, |kept| kept.job).is_ok();
+        !is_answered && self.job(id).is_none() && !self.has_room_for(submission, now_ms)
+    }
+
+    /// Returns whether all tasks of the job's first steps could start now.
+    fn has_room_for(&self, submission: &Submission, now_ms: u64) -> bool {
+        let priority = submission.queue.priority;
+        let is_behind = self.waiting.first().is_some_and(|ahead| ahead.priority <= priority);
+        !is_behind && self.fits_now(submission, now_ms)
+    }
+
     /// Takes in an entry of the list of targets.
     pub fn upsert_target(&mut self, info: TargetInfo) {
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
@@ -248,7 +269,7 @@
         for job in self.jobs.drain(..) {
             let moved = job.tickets().iter().map(|ticket| Action::Answer {
                 ticket: *ticket,
-                answer: JobAnswer::Moved,
+                answer: JobAnswer::Moved { done: job.done_tasks() },
             });
             self.actions.extend(moved);
         }
@@ -320,7 +341,9 @@
         self.close_abandoned(now_ms);
         self.refuse_overdue(now_ms);
         self.place(now_ms);
-        self.settle_ends(now_ms);
+        for target in &mut self.targets {
+            target.forget_old_ends(now_ms);
+        }
         self.answers.retain(|kept| now_ms < kept.at_ms + ANSWER_KEPT_MS);
     }
 
@@ -329,14 +352,6 @@
         !self.jobs.is_empty()
     }
 
-    fn settle_ends(&mut self, now_ms: u64) {
-        let Dispatcher { targets, jobs, .. } = self;
-        let is_open = |id: JobId| jobs.binary_search_by_key(&id, JobState::id).is_ok();
-        for target in targets {
-            target.settle_ends(now_ms, is_open);
-        }
-    }
-
     fn lapse_leases(&mut self, now_ms: u64) {
         let mut lapsed = Vec::new();
         for target in &mut self.targets {
@@ -410,16 +425,16 @@
     }
 
     fn refuse(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
-        let answer = JobAnswer::Refused { reason, retry_after_ms };
-        self.answer(id, answer);
+        self.answer(id, &JobAnswer::Refused { reason, retry_after_ms });
         self.close(id, JobPhase::Abandoned, now_ms);
     }
 
     /// Answers every caller of a job; answers that are final are kept.
-    fn answer(&mut self, id: JobId, answer: JobAnswer) {
+    fn answer(&mut self, id: JobId, answer: &JobAnswer) {
         let Some(job) = self.job_mut(id) else { return };
-        let tickets = job.take_tickets();
-        self.actions.extend(tickets.into_iter().map(|ticket| Action::Answer { ticket, answer }));
+        let tickets = job.take_tickets().into_iter();
+        let answers = tickets.map(|ticket| Action::Answer { ticket, answer: answer.clone() });
+        self.actions.extend(answers);
     }
 
     fn keep_answer(&mut self, job: JobId, answer: JobAnswer, at_ms: u64) {
@@ -491,8 +506,8 @@
     }
 
     fn finish(&mut self, id: JobId, answer: JobAnswer, now_ms: u64) {
+        self.answer(id, &answer);
         self.keep_answer(id, answer, now_ms);
-        self.answer(id, answer);
         self.close(id, JobPhase::Finished, now_ms);
     }
 
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,7 +6,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Action, Dispatcher, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
+    Action, Dispatcher, JobAnswer, JobId, Lending, RefusalReason, Submission, Target, Ticket,
     dispatcher::{
         QUEUE_SHARE_PERCENT,
         job_state::{JobPhase, JobState},
@@ -21,6 +21,9 @@
 /// and asking each target for a listing takes this long with a slow platform.
 const WARM_UP_MS: u64 = 1_000;
 
+/// How many steps of jobs the usual demand of a task is averaged over.
+const USUAL_DEMAND_WEIGHT: u64 = 32;
+
 /// The shortest time after which a refused caller is told to come back, in ms.
 const RETRY_AFTER_MIN_MS: u64 = 1_000;
 
@@ -30,8 +33,9 @@
     /// A copy of a job that is known joins it, and gets the answer that the first one got.
     pub fn submit(&mut self, submission: Submission, ticket: Ticket, now_ms: u64) {
         let id = submission.job.id;
+        self.observe_demand(&submission);
         if let Ok(at) = self.answers.binary_search_by_key(&id, |kept| kept.job) {
-            let answer = self.answers[at].answer;
+            let answer = self.answers[at].answer.clone();
             log_event!(info, AnswerRepeated, job = %id, answer = ?answer);
             self.actions.push(Action::Answer { ticket, answer });
             return;
@@ -47,9 +51,8 @@
         }
         let times = &self.run_times;
         let steps = submission.job.steps.iter();
-        let expected_ms: Vec<u64> = steps
-            .map(|step| times.expected_ms(&submission.queue.name, step.estimate_ms))
-            .collect();
+        let expected_ms: Vec<u64> =
+            steps.map(|step| times.expected_ms(&submission.queue.name, step.estimate_ms)).collect();
         let longest_ms = expected_ms.iter().max().copied().unwrap_or(0);
         let objective_ms = (submission.queue.stretch * longest_ms as f64) as u64
             + submission.queue.target_latency_ms;
@@ -63,6 +66,10 @@
                 let at = self.jobs.partition_point(|other| other.id() < id);
                 self.jobs.insert(at, job);
                 self.enqueue(id);
+                if self.job(id).is_some_and(JobState::is_completed) {
+                    self.finish(id, JobAnswer::Completed, now_ms);
+                    return;
+                }
                 self.adopt_known_runs(id, now_ms);
                 self.place(now_ms);
             }
@@ -83,12 +90,13 @@
         if job.submission().resumed {
             return Ok(0);
         }
+        let is_lent = job.submission().lending == Lending::Lent;
         let service = &job.submission().queue.service;
         let of_service = |target: &&Target| target.info().service == *service && !target.is_gone();
         let mut targets = self.targets.iter().filter(of_service).peekable();
         if targets.peek().is_none() {
             return match now_ms < self.since_ms + WARM_UP_MS {
-                true if !job.submission().lent => Ok(0),
+                true if !is_lent => Ok(0),
                 _ => Err((RefusalReason::NoTargets, RETRY_AFTER_MIN_MS)),
             };
         }
@@ -97,30 +105,27 @@
         if !job.demands().all(fits) {
             return Err((RefusalReason::TooLarge, 0));
         }
-        if self.can_start_now(job, &targets, now_ms) {
+        if self.has_room_for(job.submission(), now_ms) {
             return Ok(0);
         }
         let wait_ms = self.expected_wait_ms(job);
         let limit_ms = job.objective_ms() * QUEUE_SHARE_PERCENT / 100;
         let waited_ms = now_ms - job.sent_at_ms();
-        match waited_ms + wait_ms <= limit_ms && !job.submission().lent {
+        match waited_ms + wait_ms <= limit_ms && !is_lent {
             true => Ok(wait_ms),
             false => Err((RefusalReason::Overloaded, wait_ms.max(RETRY_AFTER_MIN_MS))),
         }
     }
 
-    /// Returns whether there is room for all tasks of the first steps, with nobody ahead.
-    fn can_start_now(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
-        let waiting = job.waiting();
-        if self.waiting.first().is_some_and(|ahead| ahead.priority <= waiting.priority) {
-            return false;
-        }
-        let mut free: Vec<_> = targets
+    /// Returns whether there is room for all tasks of the job's first steps.
+    pub(super) fn fits_now(&self, submission: &Submission, now_ms: u64) -> bool {
+        let service = &submission.queue.service;
+        let usable = self
+            .targets
             .iter()
-            .filter(|target| target.is_usable(now_ms))
-            .map(|target| target.free())
-            .collect();
-        let first_steps = job.submission().job.steps.iter().filter(|step| step.after.is_empty());
+            .filter(|target| target.info().service == *service && target.is_usable(now_ms));
+        let mut free: Vec<_> = usable.map(Target::free).collect();
+        let first_steps = submission.job.steps.iter().filter(|step| step.after.is_empty());
         for step in first_steps {
             let mut left = u64::from(step.count);
             for room in &mut free {
@@ -136,6 +141,16 @@
         true
     }
 
+    fn observe_demand(&mut self, submission: &Submission) {
+        for step in &submission.job.steps {
+            let cpu_milli = step.demand.cpu_milli;
+            self.usual_cpu_milli = match self.usual_cpu_milli {
+                0 => cpu_milli,
+                usual => (usual * (USUAL_DEMAND_WEIGHT - 1) + cpu_milli) / USUAL_DEMAND_WEIGHT,
+            };
+        }
+    }
+
     /// Returns how long the last task of a job is expected to wait, in ms.
     fn expected_wait_ms(&self, job: &JobState) -> u64 {
         let waiting = job.waiting();
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::{Capacity, JobId, Run, StepSpec, Submission, TaskId, dispatcher::{Ticket, WaitingJob}};
+use crate::{
+    Capacity, JobId, Run, StepSpec, Submission, TaskId,
+    dispatcher::{Ticket, WaitingJob},
+};
 
 /// Whether a job still wants its tasks to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,7 +84,7 @@
                 avoid: None,
             })
             .collect();
-        JobState {
+        let mut job = JobState {
             sent_at_ms: now_ms.saturating_sub(submission.waited_ms),
             has_started: submission.resumed,
             waiting_tasks: tasks.len(),
@@ -93,7 +96,11 @@
             objective_ms,
             abandoned_at_ms: None,
             first_failed_on: None,
+        };
+        for (step, index) in job.submission.done.clone() {
+            job.set_done(TaskId { job: job.id(), occurrence: 0, step, index });
         }
+        job
     }
 
     pub(super) const fn id(&self) -> JobId {
@@ -224,6 +231,12 @@
         true
     }
 
+    /// Returns the step and index of each task that is done.
+    pub(super) fn done_tasks(&self) -> Vec<(u16, u16)> {
+        let done = self.tasks.iter().filter(|task| matches!(task.state, TaskState::Done));
+        done.map(|task| (task.id.step, task.id.index)).collect()
+    }
+
     /// Lets a task wait again after `run` is over; `failed` names the target if it failed.
     /// Returns whether the run was the current one of its task.
     pub(super) fn free(&mut self, run: Run, failed: Option<&str>) -> bool {
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -17,7 +17,10 @@
         let ended = self.targets[at].apply(listing, asked_at_ms, now_ms);
         if first {
             log_event!(
-                info, TargetOwned, target = id, running = listing.running.len(),
+                info,
+                TargetOwned,
+                target = id,
+                running = listing.running.len(),
                 finished = listing.finished.len()
             );
         }
@@ -25,7 +28,6 @@
             self.run_ended(at, ended, now_ms);
         }
         self.adopt_orphans(at, now_ms);
-        self.settle_ends(now_ms);
         self.place(now_ms);
     }
 
@@ -107,7 +109,8 @@
 
     /// Joins runs of an earlier dispatcher to the jobs that ask for them.
     fn adopt_orphans(&mut self, at: usize, now_ms: u64) {
-        let orphans = self.targets[at].runs().iter().filter(|held| held.phase == RunPhase::Orphaned);
+        let orphans =
+            self.targets[at].runs().iter().filter(|held| held.phase == RunPhase::Orphaned);
         let orphans: Vec<Run> = orphans.map(|held| held.run).collect();
         for run in orphans {
             self.adopt(at, run, now_ms);
@@ -147,8 +150,8 @@
         let name = Arc::clone(&self.targets[at].info().id);
         let Some(job) = self.job_mut(run.task.job) else { return };
         let Some(task_at) = job.tasks.iter().position(|task| task.id == run.task) else { return };
-        let wanted = job.phase() == JobPhase::Open
-            && matches!(job.tasks[task_at].state, TaskState::Waiting);
+        let wanted =
+            job.phase() == JobPhase::Open && matches!(job.tasks[task_at].state, TaskState::Waiting);
         if !wanted {
             log_event!(warn, RunStopped, run = %run, target = %name, reason = "not needed");
             self.stop(at, run, now_ms);
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -78,7 +78,13 @@
 
     /// Returns the target with the least room left over that fits the task, one on the rack
     /// of its data first, and one where it failed last.
-    fn choose(&self, job: &JobState, task: TaskId, avoid: Option<&str>, now_ms: u64) -> Option<usize> {
+    fn choose(
+        &self,
+        job: &JobState,
+        task: TaskId,
+        avoid: Option<&str>,
+        now_ms: u64,
+    ) -> Option<usize> {
         let step = job.step(task);
         let service = &job.submission().queue.service;
         let fits = |target: &Target| {
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -217,13 +217,26 @@
     pub queue: QueueRules,
     /// Whether an earlier dispatcher may have started tasks of it.
     pub resumed: bool,
-    /// Whether the job is passed on from the dispatcher of another zone, which wants
-    /// it started at once or refused.
-    pub lent: bool,
+    /// Whether it may run, or runs, on the targets of another zone.
+    pub lending: Lending,
+    /// The step and index of each task that an earlier dispatcher saw done.
+    pub done: Vec<(u16, u16)>,
     /// How long the caller has waited already.
     pub waited_ms: u64,
 }
 
+/// How a job stands with the targets of other zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lending {
+    /// It may be offered to another zone.
+    Allowed,
+    /// It comes from another zone, and is to be started at once or refused.
+    Lent,
+    /// It stays in its own zone: another one had no room, or contact with it was lost.
+    Over,
+}
+
 /// Why a job was refused before any of its tasks was started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -241,7 +254,7 @@
 }
 
 /// What became of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobAnswer {
     /// All tasks are done.
@@ -256,5 +269,10 @@
         retry_after_ms: u64,
     },
     /// This dispatcher has given up its targets; the next one can go on with the job.
-    Moved,
+    Moved {
+        /// The step and index of each task that is done.
+        done: Vec<(u16, u16)>,
+    },
+    /// Contact with the dispatcher that had the job is lost; its tasks may have run.
+    Unknown,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -25,11 +25,11 @@
     dispatcher::{Action, Dispatcher, Load, StartOutcome, Ticket},
     estimate::RunTimes,
     job::{
-        BatchJob, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run, RunEnd,
-        StepSpec, Submission, TaskId,
+        BatchJob, JobAnswer, JobId, Lending, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
+        RunEnd, StepSpec, Submission, TaskId,
     },
     target::{
-        EndedRun, LEASE_GONE_MS, LEASE_MS, ListedEnd, ListedRun, Listing, RunPhase,
-        START_VALID_MS, Target, TargetInfo, TargetRun,
+        EndedRun, LEASE_GONE_MS, LEASE_MS, ListedEnd, ListedRun, Listing, RunPhase, START_VALID_MS,
+        Target, TargetInfo, TargetRun,
     },
 };
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -5,7 +5,7 @@
 use ggb_model::Zone;
 use serde::{Deserialize, Serialize};
 
-use crate::{Capacity, JobId, Run, RunEnd, TaskId};
+use crate::{Capacity, Run, RunEnd, TaskId};
 
 /// The longest lease that a target grants.
 pub const LEASE_MS: u64 = 1_000;
@@ -32,12 +32,9 @@
 /// The most ends in one listing; a full one may leave later ends out.
 const LISTED_ENDS_MAX: usize = 500;
 
-/// The most ends that wait for their jobs before they are acknowledged, well below
-/// [`LISTED_ENDS_MAX`].
-const UNACKED_ENDS_MAX: usize = 200;
-
-/// How long an end may wait for the end of its job before it is acknowledged.
-const UNACKED_MAX_MS: u64 = 1_500;
+/// How long an end is kept for a job that is resumed from an earlier dispatcher; entry
+/// processes pass their jobs on within a second.
+const END_KEPT_MS: u64 = 1_500;
 
 /// What a target says of itself in the list of targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -152,8 +149,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct UnackedEnd {
-    number: u64,
+struct RecentEnd {
     run: Run,
     end: RunEnd,
     at_ms: u64,
@@ -165,9 +161,8 @@
     info: TargetInfo,
     runs: Vec<TargetRun>,
     used: Capacity,
-    unacked: Vec<UnackedEnd>,
+    recent_ends: Vec<RecentEnd>,
     last_end: u64,
-    ack_cursor: u64,
     /// The life and clock of the last listing, and when it arrived.
     clock: Option<ClockReading>,
     /// When a message was last sent that could extend the lease.
@@ -195,9 +190,8 @@
             info,
             runs: Vec::new(),
             used: Capacity { cpu_milli: 0, memory_mb: 0, gpus: 0 },
-            unacked: Vec::new(),
+            recent_ends: Vec::new(),
             last_end: 0,
-            ack_cursor: 0,
             clock: None,
             lease_sent_at_ms: 0,
             failures_in_row: 0,
@@ -272,9 +266,10 @@
         self.clock.map(|clock| clock.clock_ms + now_ms.saturating_sub(clock.read_at_ms))
     }
 
-    /// Returns the last end that may be forgotten.
+    /// Returns the number of the last end that was taken in; the target may forget it, and
+    /// holds the next listing back only once it does.
     pub const fn ack_cursor(&self) -> u64 {
-        self.ack_cursor
+        self.last_end
     }
 
     /// Notes that a message which may extend the lease is about to be sent.
@@ -399,7 +394,7 @@
 
     /// Returns how a run of `task` ended, if its end is still listed.
     pub fn listed_end_of(&self, task: TaskId) -> Option<(Run, RunEnd)> {
-        let ends = self.unacked.iter().filter(|held| held.run.task == task);
+        let ends = self.recent_ends.iter().filter(|held| held.run.task == task);
         ends.map(|held| (held.run, held.end)).max_by_key(|(run, _)| *run)
     }
 
@@ -444,28 +439,17 @@
     fn begin_new_life(&mut self, ended: &mut Vec<EndedRun>) {
         ended.extend(self.runs.drain(..).map(|held| EndedRun::known(held, RunEnd::Lost)));
         self.used = Capacity::default();
-        self.unacked.clear();
+        self.recent_ends.clear();
         self.last_end = 0;
-        self.ack_cursor = 0;
     }
 
-    fn apply_ends(
-        &mut self,
-        listing: &Listing,
-        now_ms: u64,
-        ended: &mut Vec<EndedRun>,
-    ) {
+    fn apply_ends(&mut self, listing: &Listing, now_ms: u64, ended: &mut Vec<EndedRun>) {
         for listed in &listing.finished {
             if listed.number <= self.last_end {
                 continue;
             }
             self.last_end = listed.number;
-            self.unacked.push(UnackedEnd {
-                number: listed.number,
-                run: listed.run,
-                end: listed.end,
-                at_ms: now_ms,
-            });
+            self.recent_ends.push(RecentEnd { run: listed.run, end: listed.end, at_ms: now_ms });
             let held = self.release(listed.run);
             ended.push(EndedRun { run: listed.run, end: listed.end, held });
         }
@@ -484,7 +468,7 @@
                         held.progress_at_ms = now_ms;
                     }
                 }
-                None if self.unacked.iter().any(|end| end.run == listed.run) => {}
+                None if self.recent_ends.iter().any(|end| end.run == listed.run) => {}
                 None => self.insert(TargetRun {
                     run: listed.run,
                     demand: Capacity { cpu_milli: listed.used_cpu_milli, ..Capacity::default() },
@@ -501,12 +485,7 @@
     }
 
     /// Drops the runs that the target should list and does not.
-    fn drop_unlisted(
-        &mut self,
-        listing: &Listing,
-        asked_at_ms: u64,
-        ended: &mut Vec<EndedRun>,
-    ) {
+    fn drop_unlisted(&mut self, listing: &Listing, asked_at_ms: u64, ended: &mut Vec<EndedRun>) {
         let is_missing = |held: &TargetRun| {
             let due = match held.phase {
                 RunPhase::Ordered => false,
@@ -530,16 +509,8 @@
         self.runs.drain(..).map(|held| EndedRun::known(held, RunEnd::Lapsed)).collect()
     }
 
-    /// Moves the cursor of acknowledged ends past those whose jobs need them no longer.
-    pub fn settle_ends(&mut self, now_ms: u64, is_open: impl Fn(JobId) -> bool) {
-        let overfull = self.unacked.len() > UNACKED_ENDS_MAX;
-        let keep = |held: &UnackedEnd| {
-            !overfull && now_ms < held.at_ms + UNACKED_MAX_MS && is_open(held.run.task.job)
-        };
-        let settled = self.unacked.iter().position(keep).unwrap_or(self.unacked.len());
-        if let Some(last) = self.unacked[..settled].last() {
-            self.ack_cursor = last.number;
-        }
-        self.unacked.drain(..settled);
+    /// Forgets ends that no resumed job can ask for any more.
+    pub fn forget_old_ends(&mut self, now_ms: u64) {
+        self.recent_ends.retain(|held| now_ms < held.at_ms + END_KEPT_MS);
     }
 }
