--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -24,7 +24,7 @@
 use serde_json::json;
 
 use crate::{
-    lending::{dispatch, lend},
+    lending::{Lent, dispatch, lend},
     owner::Owner,
     peer_api::{JobReply, send_job},
     shared::Shared,
@@ -180,9 +180,10 @@
             Ok(JobReply::Answered(answer)) => return answer,
             Ok(JobReply::Pending) => continue,
             Ok(JobReply::Elsewhere(lender)) => match lend(shared, &lender, &submission).await {
-                Some(answer) => return answer,
-                None => {
+                Lent::Answered(answer) => return answer,
+                result => {
                     submission.lending = Lending::Over;
+                    submission.resumed |= matches!(result, Lent::Lost);
                     continue;
                 }
             },
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -40,16 +40,21 @@
     JobReply::Answered(owner.submit(submission).answer().await)
 }
 
-/// Has a job run on the targets of `lender`'s zone. Returns nothing if it did not run there
-/// and can't any more.
+/// What came of a job that was lent.
+pub(crate) enum Lent {
+    /// Its answer.
+    Answered(JobAnswer),
+    /// It did not run.
+    Refused,
+    /// Contact was lost; tasks of it may have run, and nothing of it runs any more.
+    Lost,
+}
+
+/// Has a job run on the targets of `lender`'s zone.
 ///
 /// Runs in the process that holds the caller's connection, so that the job is given up when
 /// the caller goes.
-pub(crate) async fn lend(
-    shared: &Shared,
-    lender: &Node,
-    submission: &Submission,
-) -> Option<JobAnswer> {
+pub(crate) async fn lend(shared: &Shared, lender: &Node, submission: &Submission) -> Lent {
     let lent = Submission { lending: Lending::Lent, ..submission.clone() };
     let addr = shared.peer_addr(lender.ip);
     let mut sent_at_ms = shared.now_ms();
@@ -57,15 +62,15 @@
         match send_job(shared, addr, &lent).await {
             Ok(JobReply::Pending) => sent_at_ms = shared.now_ms(),
             Ok(JobReply::Answered(JobAnswer::Refused { .. }) | JobReply::Elsewhere(_))
-            | Err(Sent::No) => return None,
+            | Err(Sent::No) => return Lent::Refused,
             Ok(JobReply::Answered(JobAnswer::Moved { .. } | JobAnswer::Unknown))
             | Err(Sent::Maybe) => break,
-            Ok(JobReply::Answered(answer)) => return Some(answer),
+            Ok(JobReply::Answered(answer)) => return Lent::Answered(answer),
         }
     }
     log_event!(warn, RequestResumed, job = %submission.job.id, zone = %lender.zone);
     let gone_at_ms = sent_at_ms + LENT_GONE_MS;
     let left_ms = gone_at_ms.saturating_sub(shared.now_ms());
     task::sleep(Duration::from_millis(left_ms)).await;
-    None
+    Lent::Lost
 }
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -156,6 +156,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct WaitingJob {
+    /// Whether it can't be in time any more; it then goes after all that can.
+    is_late: bool,
     priority: u8,
     since_ms: u64,
     job: JobId,
@@ -340,6 +342,7 @@
         self.stop_overdue_runs(now_ms);
         self.close_abandoned(now_ms);
         self.refuse_overdue(now_ms);
+        self.defer_late(now_ms);
         self.place(now_ms);
         for target in &mut self.targets {
             target.forget_old_ends(now_ms);
@@ -424,6 +427,21 @@
         }
     }
 
+    /// Moves jobs that can't be in time any more behind those that can.
+    fn defer_late(&mut self, now_ms: u64) {
+        let on_time = self.waiting.iter().filter(|waiting| !waiting.is_late);
+        let jobs = on_time.filter_map(|waiting| self.job(waiting.job));
+        let late: Vec<JobId> =
+            jobs.filter(|job| now_ms > job.latest_start_ms()).map(JobState::id).collect();
+        for id in late {
+            self.unqueue(id);
+            if let Some(job) = self.job_mut(id) {
+                job.set_late();
+            }
+            self.enqueue(id);
+        }
+    }
+
     fn refuse(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
         self.answer(id, &JobAnswer::Refused { reason, retry_after_ms });
         self.close(id, JobPhase::Abandoned, now_ms);
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -62,6 +62,7 @@
     /// The first target on which one of its tasks failed.
     pub(super) first_failed_on: Option<Arc<str>>,
     waiting_tasks: usize,
+    is_late: bool,
 }
 
 impl JobState {
@@ -88,6 +89,7 @@
             sent_at_ms: now_ms.saturating_sub(submission.waited_ms),
             has_started: submission.resumed,
             waiting_tasks: tasks.len(),
+            is_late: false,
             submission,
             tickets: vec![ticket],
             tasks,
@@ -168,8 +170,19 @@
         self.sent_at_ms + self.objective_ms * share_percent / 100
     }
 
+    /// Returns when its longest task has to start for the job to be in time.
+    pub(super) fn latest_start_ms(&self) -> u64 {
+        let longest_ms = self.expected_ms.iter().max().copied().unwrap_or(0);
+        self.sent_at_ms + self.objective_ms.saturating_sub(longest_ms)
+    }
+
+    pub(super) const fn set_late(&mut self) {
+        self.is_late = true;
+    }
+
     pub(super) fn waiting(&self) -> WaitingJob {
         WaitingJob {
+            is_late: self.is_late,
             priority: self.submission.queue.priority,
             since_ms: self.sent_at_ms,
             job: self.id(),
