--- a/crates/greengagebeam/src/bin/ggb-node.rs
+++ b/crates/greengagebeam/src/bin/ggb-node.rs
@@ -6,7 +6,7 @@
 use ggb_adapter::{NodeSettings, SETTINGS_VARIABLE};
 use ggb_node::NodeProcess;
 use ggb_telemetry::init_stdout_logs;
-use greengagebeam::{Checked, ExitCode, SettingsError, exit_with, termination};
+use greengagebeam::{Checked, ExitCode, SettingsError, SignalRequest, exit_with, signal_requests};
 
 /// Takes jobs of callers and dispatches them to the targets of its availability zone
 #[derive(Clone, Debug, Bpaf)]
@@ -48,10 +48,12 @@
     }
     let logs = init_stdout_logs(&args.log_filter);
     let _logs = logs.unwrap_or_else(|error| exit_with(ExitCode::BadSettings, error));
-    let stop = termination().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
+    let requests = signal_requests().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
     let operator_addr = SocketAddr::new(settings.ip, port);
-    let node = NodeProcess::spawn(settings, operator_addr).await;
+    let node = NodeProcess::spawn(settings, args.settings, operator_addr).await;
     let node = node.unwrap_or_else(|error| exit_with(ExitCode::Failed, format!("{error:?}")));
-    stop.recv().await.ok();
+    while let Ok(SignalRequest::Reload) = requests.recv().await {
+        node.reload();
+    }
     node.drain().await;
 }
--- a/crates/greengagebeam/src/lib.rs
+++ b/crates/greengagebeam/src/lib.rs
@@ -24,5 +24,5 @@
     entry_args::{EntryArgs, entry_args},
     exit::{ExitCode, exit_with},
     log_args::{LogArgs, log_args},
-    signals::termination,
+    signals::{SignalRequest, signal_requests, termination},
 };
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -24,8 +24,8 @@
     let mut version = None;
     loop {
         let read = match version {
-            None => shared.store.rows(CONFIGURATION_TABLE).await.map(Ok),
-            Some(version) => shared.store.changes(CONFIGURATION_TABLE, version, WATCH_MS).await,
+            None => shared.store().rows(CONFIGURATION_TABLE).await.map(Ok),
+            Some(version) => shared.store().changes(CONFIGURATION_TABLE, version, WATCH_MS).await,
         };
         let result = if read.is_ok() { "answered" } else { "failed" };
         shared.metrics.store_calls.with_label_values(&["configuration", result]).inc();
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -45,8 +45,8 @@
 impl Directory {
     async fn refresh(&mut self) -> Result<(), Report<AdapterError>> {
         let read = match self.version {
-            None => self.shared.store.rows(TARGETS_TABLE).await.map(Ok),
-            Some(version) => self.shared.store.changes(TARGETS_TABLE, version, 0).await,
+            None => self.shared.store().rows(TARGETS_TABLE).await.map(Ok),
+            Some(version) => self.shared.store().changes(TARGETS_TABLE, version, 0).await,
         };
         let result = if read.is_ok() { "answered" } else { "failed" };
         self.shared.metrics.store_calls.with_label_values(&["targets", result]).inc();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer_api;
 mod peers;
 mod process;
+mod settings_file;
 mod shared;
 
 pub use crate::{
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -178,9 +178,9 @@
     let mut entered = false;
     loop {
         if !entered {
-            entered = shared.store.put(NODES_TABLE, &own.name, &value).await.is_ok();
+            entered = shared.store().put(NODES_TABLE, &own.name, &value).await.is_ok();
         }
-        let read = shared.store.rows(NODES_TABLE).await;
+        let read = shared.store().rows(NODES_TABLE).await;
         let result = if read.is_ok() { "answered" } else { "failed" };
         shared.metrics.store_calls.with_label_values(&["nodes", result]).inc();
         let done = entered && read.is_ok();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,6 +1,6 @@
 //! The life of the process.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use async_std::task;
 use error_stack::{Report, ResultExt as _};
@@ -18,6 +18,7 @@
     directory::follow_targets,
     peer_api::bind_peer_api,
     peers::{follow_nodes, spawn_heartbeats},
+    settings_file::SettingsFile,
     shared::Shared,
 };
 
@@ -60,19 +61,21 @@
 /// A running process.
 pub struct NodeProcess {
     shared: Arc<Shared>,
+    settings_file: Arc<SettingsFile>,
     callers: HttpServer,
     /// Serve as long as they are kept.
     _servers: (HttpServer, HttpServer, OperatorServer),
 }
 
 impl NodeProcess {
-    /// Starts a process; metrics are served at `operator_addr`.
+    /// Starts a process with the settings of the file at `path`; metrics are served at `operator_addr`.
     ///
     /// # Errors
     ///
     /// Fails if an address can't be bound.
     pub async fn spawn(
         settings: NodeSettings,
+        path: PathBuf,
         operator_addr: SocketAddr,
     ) -> Result<Self, Report<NodeError>> {
         let clock = Clock::start();
@@ -90,9 +93,7 @@
         };
         let ownership = Ownership::new(own, clock.now_ms());
         let shared = Arc::new(Shared::new(settings, clock, http, ownership));
-        for seed in &shared.settings.seeds {
-            shared.add_peer(*seed);
-        }
+        shared.add_seeds();
         let failed = |part, addr| move || NodeError { part, addr };
         let peer_addr = shared.peer_addr(shared.settings.ip);
         let peer_api = bind_peer_api(Arc::clone(&shared), peer_addr).await;
@@ -102,6 +103,8 @@
         task::spawn(follow_nodes(Arc::clone(&shared)));
         task::spawn(follow_configuration(Arc::clone(&shared)));
         task::spawn(follow_targets(Arc::clone(&shared)));
+        let settings_file = Arc::new(SettingsFile::open(path, Arc::clone(&shared)));
+        task::spawn(Arc::clone(&settings_file).follow());
         let operator = OperatorServer::bind(operator_addr, Arc::new(Status(Arc::clone(&shared))));
         let operator = operator.await.change_context_lazy(failed("operators", operator_addr))?;
         let ready_addr = shared.settings.ready_addr;
@@ -114,7 +117,12 @@
             info, Started, vm = shared.settings.name, zone = %shared.settings.zone,
             callers = %caller_addr
         );
-        Ok(NodeProcess { shared, callers, _servers: (peer_api, ready, operator) })
+        Ok(NodeProcess { shared, settings_file, callers, _servers: (peer_api, ready, operator) })
+    }
+
+    /// Reads the settings file again.
+    pub fn reload(&self) {
+        self.settings_file.reload();
     }
 
     /// Hands the targets over, answers what is in progress and returns.
@@ -122,7 +130,7 @@
         log_event!(info, DrainBegun);
         self.shared.begin_drain();
         self.callers.close_after_responses();
-        let end_ms = self.shared.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let end_ms = self.shared.live_settings().grace_ms.saturating_sub(GRACE_MARGIN_MS);
         loop {
             let drained_ms = self.shared.draining_for_ms().unwrap_or(0);
             if drained_ms > SUCCESSOR_WAIT_MS {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use ggb_adapter::{Configuration, NodeSettings, Store};
 use ggb_control::Clock;
 use ggb_http::HttpClient;
@@ -21,10 +21,12 @@
 /// State that every part reads; on the path of a request only atomics and pointers that
 /// are swapped as a whole are read, besides the owner's queue.
 pub(crate) struct Shared {
+    /// The settings at start; addresses and names do not change while a process lives.
     pub(crate) settings: NodeSettings,
+    /// The settings as last read.
+    live_settings: ArcSwap<NodeSettings>,
     pub(crate) clock: Clock,
     pub(crate) http: Arc<HttpClient>,
-    pub(crate) store: Store,
     pub(crate) configuration: ArcSwapOption<Configuration>,
     /// The dispatcher of the zone, if this process is the owner.
     pub(crate) owner: ArcSwapOption<Owner>,
@@ -48,12 +50,11 @@
         http: Arc<HttpClient>,
         own: Ownership,
     ) -> Self {
-        let store = Store::new(Arc::clone(&http), settings.store_addr);
         Shared {
+            live_settings: ArcSwap::from_pointee(settings.clone()),
             settings,
             clock,
             http,
-            store,
             configuration: ArcSwapOption::empty(),
             owner: ArcSwapOption::empty(),
             ownership: Mutex::new(own),
@@ -70,6 +71,27 @@
         self.clock.now_ms()
     }
 
+    pub(crate) fn live_settings(&self) -> Arc<NodeSettings> {
+        self.live_settings.load_full()
+    }
+
+    pub(crate) fn set_live_settings(&self, settings: NodeSettings) {
+        self.live_settings.store(Arc::new(settings));
+        self.add_seeds();
+    }
+
+    /// Adds the processes that the settings name.
+    pub(crate) fn add_seeds(&self) {
+        for seed in &self.live_settings().seeds {
+            self.add_peer(*seed);
+        }
+    }
+
+    /// Returns a client of the platform's store.
+    pub(crate) fn store(&self) -> Store {
+        Store::new(Arc::clone(&self.http), self.live_settings.load().store_addr)
+    }
+
     /// Returns where the process on another VM takes messages.
     pub(crate) const fn peer_addr(&self, ip: IpAddr) -> SocketAddr {
         SocketAddr::new(ip, self.settings.peer_port)
