--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -30,8 +30,8 @@
 /// How long a VM listens for a higher claim after a target told it that there is one.
 const FENCED_WAIT_MS: u64 = 250;
 
-/// How long a new VM listens for an owner before it claims.
-const BOOT_WAIT_MS: u64 = 250;
+/// How long a new VM listens for an owner before it claims: one heartbeat and its way.
+const BOOT_WAIT_MS: u64 = 130;
 
 /// How far a VM raises its token when a target obeys a higher one that it has not heard
 /// of; clocks may differ by seconds.
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use ggb_http::Sent;
 use ggb_membership::Node;
-use ggb_placement::{JobAnswer, LEASE_GONE_MS, Lending, Submission};
+use ggb_placement::{JobAnswer, LEASE_GONE_MS, Lending, RefusalReason, Submission};
 use ggb_telemetry::log_event;
 
 use crate::{
@@ -29,15 +29,26 @@
     submission: Submission,
 ) -> JobReply {
     let may_lend = submission.lending == Lending::Allowed && !submission.resumed;
-    if may_lend && owner.would_wait(&submission) {
-        let tasks = submission.job.task_count() as u64;
-        let lender = shared.ownership.lock().borrow_room(tasks, shared.now_ms());
-        if let Some(lender) = lender {
-            log_event!(debug, JobLent, job = %submission.job.id, zone = %lender.zone, tasks);
-            return JobReply::Elsewhere(lender);
-        }
+    let id = submission.job.id;
+    let tasks = submission.job.task_count() as u64;
+    let borrow = || {
+        let lender = shared.ownership.lock().borrow_room(tasks, shared.now_ms())?;
+        log_event!(debug, JobLent, job = %id, zone = %lender.zone, tasks);
+        Some(JobReply::Elsewhere(lender))
+    };
+    if may_lend
+        && owner.would_wait(&submission)
+        && let Some(elsewhere) = borrow()
+    {
+        return elsewhere;
+    }
+    match owner.submit(submission).answer().await {
+        refused @ JobAnswer::Refused {
+            reason: RefusalReason::Overloaded | RefusalReason::StillQueued,
+            ..
+        } if may_lend => borrow().unwrap_or(JobReply::Answered(refused)),
+        answer => JobReply::Answered(answer),
     }
-    JobReply::Answered(owner.submit(submission).answer().await)
 }
 
 /// What came of a job that was lent.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -25,14 +25,14 @@
 const HOLD_WAIT_MS: u64 = 300;
 
 /// How long an order and its answer may take within a zone, where they usually take 1 ms.
-const ORDER_TIMEOUT_MS: u64 = 150;
+const ORDER_TIMEOUT_MS: u64 = 100;
 
 /// How long a target that does not answer is left alone, doubled each time.
 const RETRY_PAUSE_MS: u64 = 25;
 const RETRY_PAUSE_MAX_MS: u64 = 400;
 
 /// The interval of [`Dispatcher::tick`] while jobs are open, and while there are none.
-const BUSY_TICK_MS: u64 = 15;
+const BUSY_TICK_MS: u64 = 5;
 const IDLE_TICK_MS: u64 = 100;
 
 /// A running dispatcher.
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -30,14 +30,21 @@
 
 /// The share of its objective for which a job waits for its first start, in percent: what
 /// starts later than this has little chance to be in time.
-const QUEUE_SHARE_PERCENT: u64 = 24;
+const QUEUE_SHARE_PERCENT: u64 = 22;
 
-/// How long a run may show no progress, over at least two listings, before it is stopped
-/// and started elsewhere.
-const STALLED_MS: u64 = 650;
+/// How long a run may show no progress from one listing to a later one before it is stopped
+/// and started elsewhere. The longest tasks, of 8 s, move by a percent each 80 ms.
+const STALLED_MS: u64 = 300;
+
+/// How long after its expected end a run is asked about: a target answers at once when a
+/// run ends, and silence may mean that the answer was lost.
+const OVERDUE_MS: u64 = 40;
+
+/// The pause before an order to stop a run is sent again.
+const STOP_RETRY_MS: u64 = 100;
 
 /// The pause between two extra listings that are asked of one target.
-const LOOK_PAUSE_MS: u64 = 40;
+const LOOK_PAUSE_MS: u64 = 100;
 
 /// The name that the process gives a caller who waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -382,17 +389,21 @@
                     RunPhase::Orphaned if now_ms >= held.since_ms + ORPHAN_GRACE_MS => {
                         stops.push((at, held.run, "nobody asked for it"));
                     }
-                    RunPhase::Running if now_ms >= held.progress_at_ms + STALLED_MS => {
+                    RunPhase::Running if held.listed_at_ms >= held.progress_at_ms + STALLED_MS => {
                         stalled = true;
                         stops.push((at, held.run, "no progress"));
                     }
+                    RunPhase::Running if now_ms >= held.overdue_at_ms(OVERDUE_MS) => looks.push(at),
                     RunPhase::Unanswered if clock_ms > held.valid_until_clock_ms => looks.push(at),
-                    RunPhase::Stopping if now_ms >= held.since_ms + LOOK_PAUSE_MS => looks.push(at),
+                    RunPhase::Stopping if now_ms >= held.since_ms + STOP_RETRY_MS => {
+                        stops.push((at, held.run, "still there"));
+                        looks.push(at);
+                    }
                     _ => {}
                 }
             }
             if stalled {
-                target.eject(now_ms);
+                target.observe_stall(now_ms);
             }
         }
         for (at, run, reason) in stops {
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -12,7 +12,7 @@
 
 /// How long an order to start a task is valid. A target and its owner are in one zone, where
 /// an order takes 1 ms; what arrives later was delayed and is refused by the target.
-pub const START_VALID_MS: u64 = 150;
+pub const START_VALID_MS: u64 = 100;
 
 /// A lease of [`LEASE_MS`] on a clock that may be 2% slow, with a margin for the time
 /// that the order that renewed it was under way.
@@ -144,8 +144,10 @@
     pub expected_ms: u64,
     /// The share of its work that was last listed, and when it last changed.
     pub percent: u8,
-    /// When the listed share last changed.
+    /// When a listing first showed this share.
     pub progress_at_ms: u64,
+    /// When a listing last showed the run.
+    pub listed_at_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -155,6 +157,13 @@
     at_ms: u64,
 }
 
+impl TargetRun {
+    /// Returns when the run should have ended and been listed, with a margin.
+    pub const fn overdue_at_ms(&self, margin_ms: u64) -> u64 {
+        self.ordered_at_ms + self.expected_ms + margin_ms
+    }
+}
+
 /// A target, the runs on it and the evidence on its health.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -306,6 +315,13 @@
         self.ejected_until_ms = self.ejected_until_ms.max(now_ms + NO_ROOM_PAUSE_MS);
     }
 
+    /// Counts a run that stood still against the target, which then gets one task at a
+    /// time until one is done.
+    pub fn observe_stall(&mut self, now_ms: u64) {
+        self.failures_in_row = self.failures_in_row.max(FAILURES_BEFORE_PROBE);
+        self.eject(now_ms);
+    }
+
     /// Takes back one failure that proved to be the job's own fault.
     pub const fn forgive_failure(&mut self) {
         self.failures_in_row = self.failures_in_row.saturating_sub(1);
@@ -347,6 +363,7 @@
             expected_ms,
             percent: 0,
             progress_at_ms: now_ms,
+            listed_at_ms: now_ms,
         });
         valid_until_clock_ms
     }
@@ -463,6 +480,7 @@
                         held.phase = RunPhase::Running;
                         held.since_ms = now_ms;
                     }
+                    held.listed_at_ms = now_ms;
                     if held.percent != listed.percent {
                         held.percent = listed.percent;
                         held.progress_at_ms = now_ms;
@@ -479,6 +497,7 @@
                     expected_ms: 0,
                     percent: listed.percent,
                     progress_at_ms: now_ms,
+                    listed_at_ms: now_ms,
                 }),
             }
         }
