--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -37,10 +37,6 @@
 /// of; clocks may differ by seconds.
 const TOKEN_LEAP: u64 = 10_000 * TOKEN_STEP;
 
-/// The room that a zone keeps for its own jobs when it is asked for some: what is free may
-/// be taken before the job arrives.
-const LENDING_RESERVE_TASKS: u64 = 3;
-
 /// The part of a token that tells claims of the same millisecond apart.
 const TOKEN_STEP: u64 = 1_000;
 
@@ -212,23 +208,6 @@
         claims.max_by_key(|peer| peer.heartbeat.claim)
     }
 
-    /// Returns the owner of another zone that was heard to have room for `tasks` more, and
-    /// counts the room as taken until the owner is heard again.
-    pub fn borrow_room(&mut self, tasks: u64, now_ms: u64) -> Option<Node> {
-        let Ownership { own, peers, .. } = self;
-        let lenders = peers.iter_mut().filter(|peer| {
-            let heartbeat = &peer.heartbeat;
-            heartbeat.claim.is_some()
-                && heartbeat.node.zone != own.zone
-                && !heartbeat.leaving
-                && heartbeat.free_tasks >= tasks + LENDING_RESERVE_TASKS
-                && peer.is_alive(now_ms)
-        });
-        let lender = lenders.max_by_key(|peer| peer.heartbeat.free_tasks)?;
-        lender.heartbeat.free_tasks -= tasks;
-        Some(lender.heartbeat.node.clone())
-    }
-
     /// Returns what this VM tells its peers, without load and configuration.
     pub fn heartbeat(&self, now_ms: u64) -> Heartbeat {
         let heard = self.peers.iter().filter(|peer| peer.is_alive(now_ms));
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -18,13 +18,12 @@
 use ggb_http::{
     HttpError, HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body,
 };
-use ggb_placement::{JobAnswer, JobId, Lending, RefusalReason, Submission};
+use ggb_placement::{EarlierRuns, JobAnswer, JobId, RefusalReason, Submission};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode, headers::RETRY_AFTER};
 use serde_json::json;
 
 use crate::{
-    lending::{Lent, dispatch, lend},
     owner::Owner,
     peer_api::{JobReply, send_job},
     shared::Shared,
@@ -109,8 +108,8 @@
     let submission = Submission {
         job,
         queue: queue.rules.clone(),
-        resumed: false,
-        lending: Lending::Allowed,
+        earlier_runs: EarlierRuns::None,
+        part: None,
         done: Vec::new(),
         waited_ms: 0,
     };
@@ -167,34 +166,28 @@
 async fn run_job(shared: &Shared, mut submission: Submission, received_at_ms: u64) -> JobAnswer {
     loop {
         submission.waited_ms = shared.now_ms() - received_at_ms;
-        let (offered, replied) = match route(shared) {
-            Route::Local(owner) => (true, Ok(dispatch(shared, &owner, submission.clone()).await)),
-            Route::Remote(ip) => (true, send_job(shared, shared.peer_addr(ip), &submission).await),
-            Route::None => (false, Err(Sent::No)),
+        let replied = match route(shared) {
+            Route::Local(owner) => {
+                Ok(JobReply::Answered(owner.submit(submission.clone()).answer().await))
+            }
+            Route::Remote(ip) => send_job(shared, shared.peer_addr(ip), &submission).await,
+            Route::None => Err(Sent::No),
         };
         match replied {
-            Ok(JobReply::Answered(JobAnswer::Moved { done })) => {
-                submission.resumed |= offered;
+            Ok(JobReply::Answered(JobAnswer::Moved { done, earlier_runs })) => {
+                submission.earlier_runs = submission.earlier_runs.max(earlier_runs);
                 submission.done.extend(done);
             }
             Ok(JobReply::Answered(answer)) => return answer,
             Ok(JobReply::Pending) => continue,
-            Ok(JobReply::Elsewhere(lender)) => match lend(shared, &lender, &submission).await {
-                Lent::Answered(answer) => return answer,
-                result => {
-                    submission.lending = Lending::Over;
-                    submission.resumed |= matches!(result, Lent::Lost);
-                    continue;
-                }
-            },
             Err(Sent::Maybe) => {
-                submission.resumed = true;
+                submission.earlier_runs = EarlierRuns::AnyZone;
                 log_event!(info, RequestResumed, job = %submission.job.id);
             }
             Err(Sent::No) => {}
         }
         let waited_ms = shared.now_ms() - received_at_ms;
-        if !submission.resumed && waited_ms > OWNER_WAIT_MS {
+        if submission.earlier_runs == EarlierRuns::None && waited_ms > OWNER_WAIT_MS {
             let reason = RefusalReason::NoTargets;
             return JobAnswer::Refused { reason, retry_after_ms: 1_000 };
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,7 @@
 //! * `callers` answers callers and passes jobs on to the owner.
 //! * `owner` drives a [`ggb_placement::Dispatcher`]: it sends orders to targets and asks
 //!   them for listings.
-//! * `lending` passes a job that has to wait on to a zone that has room.
+//! * `lending` passes parts of jobs on to the owners of other zones.
 //! * `peers` tells the other processes that this one lives, and hears them.
 //! * `directory` and `configuration` follow the platform's store.
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -12,13 +12,15 @@
 use async_std::task;
 use futures::channel::oneshot;
 use ggb_adapter::{HoldReply, TargetClient};
+use ggb_model::Zone;
 use ggb_placement::{
-    Action, Dispatcher, JobAnswer, LEASE_MS, Load, Run, Submission, TargetInfo, Ticket,
+    Action, Dispatcher, EarlierRuns, JobAnswer, LEASE_MS, LentOutcome, Load, Run, Submission,
+    TargetInfo, Ticket,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
 
-use crate::shared::Shared;
+use crate::{lending::lend, shared::Shared};
 
 /// How long a target holds a listing back until a run ends: well within a lease, so that
 /// one lost message does not let it lapse.
@@ -48,6 +50,13 @@
     /// Sorted by ticket.
     waiters: Vec<(Ticket, oneshot::Sender<JobAnswer>)>,
     next_ticket: u64,
+    /// The parts of jobs that other zones have.
+    recalls: Vec<(u32, oneshot::Sender<()>)>,
+}
+
+/// The answer where it is not known what a former owner did.
+fn moved() -> JobAnswer {
+    JobAnswer::Moved { done: Vec::new(), earlier_runs: EarlierRuns::AnyZone }
 }
 
 /// A caller's place in the queue; giving it up withdraws the job.
@@ -60,7 +69,7 @@
 impl Waiter {
     /// Returns the answer of the job.
     pub(crate) async fn answer(&mut self) -> JobAnswer {
-        (&mut self.answer).await.unwrap_or(JobAnswer::Moved { done: Vec::new() })
+        (&mut self.answer).await.unwrap_or_else(|_| moved())
     }
 }
 
@@ -77,7 +86,7 @@
         let run_times = shared.run_times.lock().clone();
         let dispatcher = Dispatcher::new(run_times, shared.now_ms());
         let client = TargetClient::new(Arc::clone(&shared.http), token);
-        let core = Core { dispatcher, waiters: Vec::new(), next_ticket: 0 };
+        let core = Core { dispatcher, waiters: Vec::new(), next_ticket: 0, recalls: Vec::new() };
         let targets = shared.targets.lock().clone();
         let owner = Arc::new(Owner {
             shared,
@@ -96,7 +105,8 @@
     pub(crate) fn stop(self: &Arc<Self>) {
         self.stopped.store(true, Ordering::Relaxed);
         self.with(|dispatcher, _| dispatcher.step_down());
-        let core = self.core.lock();
+        let mut core = self.core.lock();
+        core.recalls.clear();
         *self.shared.run_times.lock() = core.dispatcher.run_times().clone();
     }
 
@@ -104,11 +114,6 @@
         self.core.lock().dispatcher.load()
     }
 
-    /// Returns whether a job is new here and could not start with all its first tasks.
-    pub(crate) fn would_wait(&self, submission: &Submission) -> bool {
-        self.core.lock().dispatcher.would_wait(submission, self.shared.now_ms())
-    }
-
     /// Queues a job; the returned place in the queue gives its answer.
     pub(crate) fn submit(self: &Arc<Self>, submission: Submission) -> Waiter {
         let (sender, answer) = oneshot::channel();
@@ -121,13 +126,28 @@
         };
         let waiter = Waiter { owner: Arc::clone(self), ticket, answer };
         if self.stopped.load(Ordering::Relaxed) {
-            self.settle(ticket, JobAnswer::Moved { done: Vec::new() });
+            self.settle(ticket, moved());
             return waiter;
         }
         self.with(|dispatcher, now_ms| dispatcher.submit(submission, ticket, now_ms));
         waiter
     }
 
+    /// Takes in how much room another zone has.
+    pub(crate) fn room_heard(self: &Arc<Self>, zone: &Zone, free_tasks: u64) {
+        self.with(|dispatcher, now_ms| dispatcher.room_heard(zone, free_tasks, now_ms));
+    }
+
+    /// Takes in what became of a part that another zone had.
+    pub(crate) fn lent_settled(self: &Arc<Self>, part: u32, outcome: LentOutcome) {
+        self.core.lock().recalls.retain(|(lent, _)| *lent != part);
+        self.with(|dispatcher, now_ms| dispatcher.lent_settled(part, outcome, now_ms));
+    }
+
+    pub(crate) const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     /// Takes in an entry of the list of targets.
     pub(crate) fn target_listed(self: &Arc<Self>, info: &TargetInfo) {
         if info.zone != self.shared.settings.zone {
@@ -174,6 +194,13 @@
             Action::Look { target } => {
                 task::spawn(Arc::clone(self).look(target));
             }
+            Action::Lend { part, zone, submission } => {
+                let (recall, recalled) = oneshot::channel();
+                self.core.lock().recalls.push((part, recall));
+                task::spawn(lend(Arc::clone(self), part, zone, submission, recalled));
+            }
+            // Dropping the sender tells the task.
+            Action::Recall { part } => self.core.lock().recalls.retain(|(lent, _)| *lent != part),
             Action::Answer { ticket, answer } => self.settle(ticket, answer),
         }
     }
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -6,13 +6,12 @@
 use ggb_http::{
     HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body, text_response,
 };
-use ggb_membership::Node;
-use ggb_placement::{JobAnswer, Submission};
+use ggb_placement::{EarlierRuns, JobAnswer, Submission};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::{lending::dispatch, shared::Shared};
+use crate::shared::Shared;
 
 /// How long an owner holds back the answer of a job that has not ended. Bounds the time
 /// for which a process that lost its connection without noticing keeps its jobs running.
@@ -32,8 +31,6 @@
     Answered(JobAnswer),
     /// It goes on; to be asked again at once.
     Pending,
-    /// It would have to wait, and was not taken; another owner has room for it.
-    Elsewhere(Node),
 }
 
 /// Binds the address for messages of other processes.
@@ -83,10 +80,12 @@
     connection: Option<PeerConnection>,
 ) -> Response {
     let Some(owner) = shared.owner.load_full() else {
-        let moved = JobAnswer::Moved { done: Vec::new() };
+        let earlier_runs = EarlierRuns::None;
+        let moved = JobAnswer::Moved { done: Vec::new(), earlier_runs };
         return json_response(StatusCode::Ok, &JobReply::Answered(moved));
     };
-    let answer = timeout(Duration::from_millis(JOB_WAIT_MS), dispatch(shared, &owner, submission));
+    let mut waiter = owner.submit(submission);
+    let answer = timeout(Duration::from_millis(JOB_WAIT_MS), waiter.answer());
     let closed = async {
         match &connection {
             Some(connection) => connection.closed().await,
@@ -95,7 +94,9 @@
     };
     futures::pin_mut!(answer, closed);
     match futures::future::select(answer, closed).await {
-        futures::future::Either::Left((Ok(answer), _)) => json_response(StatusCode::Ok, &answer),
+        futures::future::Either::Left((Ok(answer), _)) => {
+            json_response(StatusCode::Ok, &JobReply::Answered(answer))
+        }
         futures::future::Either::Left((Err(_), _)) => {
             json_response(StatusCode::Ok, &JobReply::Pending)
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,6 +15,21 @@
 /// The interval between heartbeats to another zone, in heartbeats within the zone.
 const FAR_EVERY: u64 = 3;
 
+/// The interval at which owners tell each other how much room they have; half of a short
+/// task.
+const ROOM_INTERVAL_MS: u64 = 25;
+
+/// Who gets a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// The owners of other zones.
+    Owners,
+    /// The processes of the own zone; from an owner, the owners of other zones too.
+    Zone,
+    /// The owners of other zones too; from an owner, every process.
+    All,
+}
+
 /// The most bytes of a heartbeat, well within one datagram.
 const HEARTBEAT_BYTES: usize = 8_192;
 
@@ -32,6 +47,7 @@
     let socket = UdpSocket::bind(shared.peer_addr(shared.settings.ip)).await?;
     let socket = Arc::new(socket);
     task::spawn(receive(Arc::clone(&shared), Arc::clone(&socket)));
+    task::spawn(tell_room(Arc::clone(&shared), Arc::clone(&socket)));
     task::spawn(send_regularly(shared, socket));
     Ok(())
 }
@@ -59,7 +75,14 @@
     let zone = heartbeat.node.zone.clone();
     let claim = heartbeat.claim;
     let leaving = heartbeat.leaving;
+    let free_tasks = heartbeat.free_tasks;
     shared.add_peer(ip);
+    if claim.is_some() && zone != shared.settings.zone {
+        let owner = shared.owner.load_full();
+        if let Some(owner) = owner {
+            owner.room_heard(&zone, if leaving { 0 } else { free_tasks });
+        }
+    }
     let changed = {
         let mut ownership = shared.ownership.lock();
         let before = ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone());
@@ -83,8 +106,11 @@
 async fn send_regularly(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     for round in 0_u64.. {
         update_ownership(&shared);
-        let far = round.is_multiple_of(FAR_EVERY);
-        send(&shared, &socket, far).await;
+        let audience = match round.is_multiple_of(FAR_EVERY) {
+            true => Audience::All,
+            false => Audience::Zone,
+        };
+        send(&shared, &socket, audience).await;
         update_gauges(&shared);
         task::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
     }
@@ -110,14 +136,24 @@
     true
 }
 
+/// Tells the owners of other zones how much room there is, while this process is an owner
+/// with jobs; they can lend tasks only while what they know is current.
+async fn tell_room(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        task::sleep(Duration::from_millis(ROOM_INTERVAL_MS)).await;
+        let load = shared.owner.load().as_ref().map(|owner| owner.load());
+        if load.is_some_and(|load| load.jobs > 0) {
+            send(&shared, &socket, Audience::Owners).await;
+        }
+    }
+}
+
 async fn send_to_all(shared: &Shared, socket: &UdpSocket) {
-    send(shared, socket, true).await;
+    send(shared, socket, Audience::All).await;
 }
 
-/// Sends a heartbeat to the processes of the zone, and with `far` to others too: an owner
-/// to all of them, any other process to the owners. Owners tell each other of their room
-/// each time.
-async fn send(shared: &Shared, socket: &UdpSocket, far: bool) {
+/// Sends a heartbeat.
+async fn send(shared: &Shared, socket: &UdpSocket, audience: Audience) {
     let now_ms = shared.now_ms();
     let load = shared.owner.load().as_ref().map(|owner| owner.load()).unwrap_or_default();
     let peers = shared.peers.lock().clone();
@@ -142,14 +178,17 @@
         shared.configuration.load().as_ref().map_or(0, |current| current.version);
     let is_owner = heartbeat.claim.is_some();
     let message = serde_json::to_vec(&heartbeat).expect("heartbeats have only string keys");
-    let far_addrs = far_known
-        .iter()
-        .filter(|(_, known)| {
-            let to_owner = known.is_some_and(|(_, owner)| owner);
-            (is_owner && to_owner) || (far && (is_owner || to_owner))
-        })
-        .map(|(ip, _)| *ip);
-    for ip in near_known.iter().map(|(ip, _)| *ip).chain(far_addrs) {
+    let is_far_audience = |known: &Option<(bool, bool)>| {
+        let to_owner = known.is_some_and(|(_, owner)| owner);
+        match audience {
+            Audience::Owners => to_owner,
+            Audience::Zone => is_owner && to_owner,
+            Audience::All => is_owner || to_owner,
+        }
+    };
+    let far_addrs = far_known.iter().filter(|(_, known)| is_far_audience(known));
+    let near_addrs = near_known.iter().filter(|_| audience != Audience::Owners);
+    for ip in near_addrs.chain(far_addrs).map(|(ip, _)| *ip) {
         // A heartbeat that can't be sent is as good as a lost one.
         socket.send_to(&message, shared.peer_addr(ip)).await.ok();
     }
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod job_state;
+mod lending;
 mod listings;
 mod place;
 
@@ -9,11 +10,18 @@
 
 use ggb_telemetry::log_event;
 
+use ggb_model::Zone;
+
 use crate::{
     JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Submission, Target, TargetInfo,
-    dispatcher::job_state::{JobPhase, JobState},
+    dispatcher::{
+        job_state::{JobPhase, JobState},
+        lending::{Lender, LentPart},
+    },
 };
 
+pub use crate::dispatcher::lending::{LENT_GONE_MS, LentOutcome};
+
 /// How long a job without a caller is kept before its tasks are stopped. A caller's entry
 /// process that lost the connection asks again within this time.
 const ABANDONED_GRACE_MS: u64 = 150;
@@ -105,6 +113,20 @@
         /// The target.
         target: Arc<str>,
     },
+    /// Offer part of a job to the dispatcher of another zone.
+    Lend {
+        /// The number of the part.
+        part: u32,
+        /// The zone.
+        zone: Zone,
+        /// The job, with the tasks that are not part of it marked as done.
+        submission: Submission,
+    },
+    /// Give up a part that was lent.
+    Recall {
+        /// The number of the part.
+        part: u32,
+    },
     /// Answer a caller.
     Answer {
         /// The caller.
@@ -136,6 +158,7 @@
 #[derive(Debug)]
 struct KeptAnswer {
     job: JobId,
+    part: Option<u32>,
     answer: JobAnswer,
     at_ms: u64,
 }
@@ -159,6 +182,10 @@
     fenced: bool,
     /// The processor time that a task usually takes.
     usual_cpu_milli: u64,
+    /// Other zones, sorted by name.
+    lenders: Vec<Lender>,
+    lent_parts: Vec<LentPart>,
+    next_part: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -184,6 +211,9 @@
             looked_at: Vec::new(),
             fenced: false,
             usual_cpu_milli: 0,
+            lenders: Vec::new(),
+            lent_parts: Vec::new(),
+            next_part: 0,
         }
     }
 
@@ -228,20 +258,6 @@
         load
     }
 
-    /// Returns whether a job is new here and could not start with all its first tasks.
-    pub fn would_wait(&self, submission: &Submission, now_ms: u64) -> bool {
-        let id = submission.job.id;
-        let is_answered = self.answers.binary_search_by_key(&id, |kept| kept.job).is_ok();
-        !is_answered && self.job(id).is_none() && !self.has_room_for(submission, now_ms)
-    }
-
-    /// Returns whether all tasks of the job's first steps could start now.
-    fn has_room_for(&self, submission: &Submission, now_ms: u64) -> bool {
-        let priority = submission.queue.priority;
-        let is_behind = self.waiting.first().is_some_and(|ahead| ahead.priority <= priority);
-        !is_behind && self.fits_now(submission, now_ms)
-    }
-
     /// Takes in an entry of the list of targets.
     pub fn upsert_target(&mut self, info: TargetInfo) {
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
@@ -278,11 +294,15 @@
         for job in self.jobs.drain(..) {
             let moved = job.tickets().iter().map(|ticket| Action::Answer {
                 ticket: *ticket,
-                answer: JobAnswer::Moved { done: job.done_tasks() },
+                answer: JobAnswer::Moved {
+                    done: job.done_tasks(),
+                    earlier_runs: job.earlier_runs(),
+                },
             });
             self.actions.extend(moved);
         }
         self.waiting.clear();
+        self.lent_parts.clear();
     }
 
     /// Takes in what a target made of an order to start `run`.
@@ -428,7 +448,9 @@
 
     fn refuse_overdue(&mut self, now_ms: u64) {
         let is_overdue = |job: &JobState| {
-            !job.has_started() && now_ms >= job.queue_until_ms(QUEUE_SHARE_PERCENT)
+            !job.has_started()
+                && !job.has_lent()
+                && now_ms >= job.queue_until_ms(QUEUE_SHARE_PERCENT)
         };
         let waiting = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
         let overdue: Vec<JobId> = waiting.filter(|job| is_overdue(job)).map(JobState::id).collect();
@@ -454,6 +476,15 @@
     }
 
     fn refuse(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
+        if let Some(job) = self.job(id) {
+            let waited_ms = now_ms - job.sent_at_ms();
+            log_event!(
+                info, JobRefused, job = %id, queue = %job.submission().queue.name,
+                reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
+                free_cpu_milli = self.load().free_cpu_milli,
+                largest_free_cpu_milli = self.largest_free(now_ms).cpu_milli
+            );
+        }
         self.answer(id, &JobAnswer::Refused { reason, retry_after_ms });
         self.close(id, JobPhase::Abandoned, now_ms);
     }
@@ -467,7 +498,8 @@
     }
 
     fn keep_answer(&mut self, job: JobId, answer: JobAnswer, at_ms: u64) {
-        let kept = KeptAnswer { job, answer, at_ms };
+        let part = self.job(job).and_then(|state| state.submission().part);
+        let kept = KeptAnswer { job, part, answer, at_ms };
         match self.answers.binary_search_by_key(&job, |kept| kept.job) {
             Ok(at) => self.answers[at] = kept,
             Err(at) => self.answers.insert(at, kept),
@@ -484,6 +516,8 @@
         let Some(job) = self.job_mut(id) else { return };
         job.set_phase(phase);
         let assigned: Vec<(Arc<str>, Run)> = job.assigned().collect();
+        let lent_parts = self.lent_parts.iter().filter(|lent| lent.job == id);
+        self.actions.extend(lent_parts.map(|lent| Action::Recall { part: lent.part }));
         for (target, run) in assigned {
             if let Some(at) = self.target_index(&target) {
                 self.stop(at, run, now_ms);
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,7 +6,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Action, Dispatcher, JobAnswer, JobId, Lending, RefusalReason, Submission, Target, Ticket,
+    Action, Dispatcher, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
     dispatcher::{
         QUEUE_SHARE_PERCENT,
         job_state::{JobPhase, JobState},
@@ -34,12 +34,20 @@
     pub fn submit(&mut self, submission: Submission, ticket: Ticket, now_ms: u64) {
         let id = submission.job.id;
         self.observe_demand(&submission);
-        if let Ok(at) = self.answers.binary_search_by_key(&id, |kept| kept.job) {
+        if let Ok(at) = self.answers.binary_search_by_key(&id, |kept| kept.job)
+            && self.answers[at].part == submission.part
+        {
             let answer = self.answers[at].answer.clone();
             log_event!(info, AnswerRepeated, job = %id, answer = ?answer);
             self.actions.push(Action::Answer { ticket, answer });
             return;
         }
+        if let Some(job) = self.job(id)
+            && job.submission().part != submission.part
+        {
+            self.answer_rival(&submission, ticket);
+            return;
+        }
         if let Some(job) = self.job_mut(id) {
             let reopened = job.phase() == JobPhase::Abandoned;
             job.attach(ticket);
@@ -85,12 +93,22 @@
         }
     }
 
+    /// Answers a request for a job of which another part runs here.
+    fn answer_rival(&mut self, submission: &Submission, ticket: Ticket) {
+        let answer = match submission.part {
+            Some(_) => JobAnswer::Refused { reason: RefusalReason::Overloaded, retry_after_ms: 0 },
+            None => JobAnswer::Unknown,
+        };
+        log_event!(info, RivalPart, job = %submission.job.id, part = ?submission.part);
+        self.actions.push(Action::Answer { ticket, answer });
+    }
+
     /// Returns the expected wait of a job, or why it is refused and when to come back.
     fn admission(&self, job: &JobState, now_ms: u64) -> Result<u64, (RefusalReason, u64)> {
-        if job.submission().resumed {
+        if job.has_started() {
             return Ok(0);
         }
-        let is_lent = job.submission().lending == Lending::Lent;
+        let is_lent = job.submission().part.is_some();
         let service = &job.submission().queue.service;
         let of_service = |target: &&Target| target.info().service == *service && !target.is_gone();
         let mut targets = self.targets.iter().filter(of_service).peekable();
@@ -105,7 +123,7 @@
         if !job.demands().all(fits) {
             return Err((RefusalReason::TooLarge, 0));
         }
-        if self.has_room_for(job.submission(), now_ms) {
+        if self.has_room_for(job, &targets, now_ms) {
             return Ok(0);
         }
         let wait_ms = self.expected_wait_ms(job);
@@ -117,28 +135,26 @@
         }
     }
 
-    /// Returns whether there is room for all tasks of the job's first steps.
-    pub(super) fn fits_now(&self, submission: &Submission, now_ms: u64) -> bool {
-        let service = &submission.queue.service;
-        let usable = self
-            .targets
-            .iter()
-            .filter(|target| target.info().service == *service && target.is_usable(now_ms));
-        let mut free: Vec<_> = usable.map(Target::free).collect();
-        let first_steps = submission.job.steps.iter().filter(|step| step.after.is_empty());
-        for step in first_steps {
-            let mut left = u64::from(step.count);
-            for room in &mut free {
-                while left > 0 && room.fits(&step.demand) {
-                    *room = room.minus(&step.demand);
-                    left -= 1;
-                }
-            }
-            if left > 0 {
-                return false;
+    /// Returns whether all tasks whose turn has come could start now, here or in other zones.
+    fn has_room_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
+        let waiting = job.waiting();
+        if self.waiting.first().is_some_and(|ahead| ahead.priority <= waiting.priority) {
+            return false;
+        }
+        let usable = targets.iter().filter(|target| target.is_usable(now_ms));
+        let mut free: Vec<_> = usable.map(|target| target.free()).collect();
+        let mut left = 0;
+        for at in job.startable() {
+            let demand = &job.step(job.tasks[at].id).demand;
+            match free.iter_mut().find(|room| room.fits(demand)) {
+                Some(room) => *room = room.minus(demand),
+                None => left += 1,
             }
         }
-        true
+        match job.submission().part {
+            Some(_) => left == 0,
+            None => left <= self.lendable_tasks(now_ms),
+        }
     }
 
     fn observe_demand(&mut self, submission: &Submission) {
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    Capacity, JobId, Run, StepSpec, Submission, TaskId,
+    Capacity, EarlierRuns, JobId, Run, StepSpec, Submission, TaskId,
     dispatcher::{Ticket, WaitingJob},
 };
 
@@ -30,6 +30,11 @@
         /// The run.
         run: Run,
     },
+    /// The dispatcher of another zone has it.
+    Lent {
+        /// The number of the part.
+        part: u32,
+    },
     /// It is done.
     Done,
 }
@@ -87,7 +92,7 @@
             .collect();
         let mut job = JobState {
             sent_at_ms: now_ms.saturating_sub(submission.waited_ms),
-            has_started: submission.resumed,
+            has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
             is_late: false,
             submission,
@@ -239,7 +244,7 @@
         match std::mem::replace(&mut self.tasks[at].state, TaskState::Done) {
             TaskState::Done => return false,
             TaskState::Waiting => self.waiting_tasks -= 1,
-            TaskState::Assigned { .. } => {}
+            TaskState::Assigned { .. } | TaskState::Lent { .. } => {}
         }
         true
     }
@@ -291,13 +296,73 @@
     pub(super) fn assigned(&self) -> impl Iterator<Item = (Arc<str>, Run)> {
         self.tasks.iter().filter_map(|task| match &task.state {
             TaskState::Assigned { target, run } => Some((Arc::clone(target), *run)),
-            TaskState::Waiting | TaskState::Done => None,
+            TaskState::Waiting | TaskState::Lent { .. } | TaskState::Done => None,
         })
     }
 
-    /// Returns whether the job is closed and none of its runs takes room.
+    /// Returns whether the job is closed and none of its tasks can run any more.
     pub(super) fn is_over(&self) -> bool {
-        self.phase != JobPhase::Open && self.assigned().next().is_none()
+        self.phase != JobPhase::Open && self.assigned().next().is_none() && !self.has_lent()
+    }
+
+    /// Returns whether the dispatcher of another zone has tasks of the job.
+    pub(super) fn has_lent(&self) -> bool {
+        self.tasks.iter().any(|task| matches!(task.state, TaskState::Lent { .. }))
+    }
+
+    /// Returns where tasks of the job may run that are not known to be done.
+    pub(super) fn earlier_runs(&self) -> EarlierRuns {
+        match self.has_lent() {
+            true => EarlierRuns::AnyZone,
+            false if self.has_started => self.submission.earlier_runs.max(EarlierRuns::OwnZone),
+            false => EarlierRuns::None,
+        }
+    }
+
+    /// Returns the numbers of the waiting tasks whose turn has come.
+    pub(super) fn startable(&self) -> Vec<usize> {
+        let tasks = self.tasks.iter().enumerate();
+        let startable = tasks.filter(|(_, task)| {
+            matches!(task.state, TaskState::Waiting) && self.is_unblocked(task.id)
+        });
+        startable.map(|(at, _)| at).collect()
+    }
+
+    /// Hands tasks to the dispatcher of another zone; returns what to send to it.
+    pub(super) fn lend(&mut self, part: u32, tasks: &[usize], now_ms: u64) -> Submission {
+        for at in tasks {
+            self.tasks[*at].state = TaskState::Lent { part };
+        }
+        self.waiting_tasks -= tasks.len();
+        let others = self.tasks.iter().enumerate().filter(|(at, _)| !tasks.contains(at));
+        Submission {
+            earlier_runs: EarlierRuns::None,
+            part: Some(part),
+            done: others.map(|(_, task)| (task.id.step, task.id.index)).collect(),
+            waited_ms: now_ms.saturating_sub(self.sent_at_ms),
+            ..self.submission.clone()
+        }
+    }
+
+    /// Takes back the tasks of a part: done, or to be run here.
+    pub(super) fn settle_part(&mut self, part: u32, is_done: bool) {
+        for task in &mut self.tasks {
+            match task.state {
+                TaskState::Lent { part: lent } if lent == part && is_done => {
+                    task.state = TaskState::Done;
+                }
+                TaskState::Lent { part: lent } if lent == part => {
+                    task.state = TaskState::Waiting;
+                    self.waiting_tasks += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Notes that tasks of the job may have run.
+    pub(super) const fn set_started(&mut self) {
+        self.has_started = true;
     }
 
     /// Returns the largest demand of its steps, field by field.
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -86,11 +86,7 @@
         }
         match job.phase() {
             JobPhase::Open if job.is_completed() => {
-                let took_ms = now_ms - job.sent_at_ms();
-                log_event!(
-                    debug, JobCompleted, job = %id, took_ms, objective_ms = job.objective_ms()
-                );
-                self.finish(id, JobAnswer::Completed, now_ms);
+                self.complete(id, now_ms);
             }
             JobPhase::Open if job.waiting_tasks() == 0 => self.unqueue(id),
             JobPhase::Open => {}
@@ -98,6 +94,15 @@
         }
     }
 
+    pub(super) fn complete(&mut self, id: JobId, now_ms: u64) {
+        if let Some(job) = self.job(id) {
+            let took_ms = now_ms - job.sent_at_ms();
+            let objective_ms = job.objective_ms();
+            log_event!(debug, JobCompleted, job = %id, took_ms, objective_ms);
+        }
+        self.finish(id, JobAnswer::Completed, now_ms);
+    }
+
     /// Counts a failed run that an earlier dispatcher ordered.
     fn stray_failure(&mut self, run: Run, now_ms: u64) {
         let Some(job) = self.job_mut(run.task.job) else { return };
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -8,8 +8,9 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Action, Capacity, Dispatcher, JobId, LEASE_GONE_MS, Run, StepSpec, Target, TaskId,
-    dispatcher::job_state::{JobPhase, JobState, TaskState},
+    Action, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_GONE_MS, LENT_GONE_MS, Run, StepSpec,
+    Target, TaskId,
+    dispatcher::job_state::{JobPhase, JobState},
 };
 
 impl Dispatcher {
@@ -21,17 +22,25 @@
         let mut largest_free = self.largest_free(now_ms);
         let ids: Vec<JobId> = self.waiting.iter().map(|waiting| waiting.job).collect();
         for id in ids {
-            if largest_free.cpu_milli == 0 {
+            let is_settled = self.job(id).is_some_and(|job| self.is_settled(job, now_ms));
+            if !is_settled {
+                continue;
+            }
+            let can_lend = self.lendable_tasks(now_ms) > 0;
+            if largest_free.cpu_milli == 0 && !can_lend {
                 break;
             }
             if self.place_job(id, largest_free, now_ms) {
                 largest_free = self.largest_free(now_ms);
             }
+            if can_lend {
+                self.lend(id, now_ms);
+            }
         }
     }
 
     /// Returns the most that any usable target has free, field by field.
-    fn largest_free(&self, now_ms: u64) -> Capacity {
+    pub(super) fn largest_free(&self, now_ms: u64) -> Capacity {
         let usable = self.targets.iter().filter(|target| target.is_usable(now_ms));
         usable.map(Target::free).fold(Capacity::default(), |most, free| Capacity {
             cpu_milli: most.cpu_milli.max(free.cpu_milli),
@@ -46,16 +55,10 @@
         if job.phase() != JobPhase::Open || !job.demands().any(|demand| largest_free.fits(demand)) {
             return false;
         }
-        if job.submission().resumed && !self.is_settled(&job.submission().queue.service, now_ms) {
-            return false;
-        }
         let mut started = false;
-        for at in 0..job.tasks.len() {
+        for at in job.startable() {
             let Some(job) = self.job(id) else { return started };
             let task = &job.tasks[at];
-            if !matches!(task.state, TaskState::Waiting) || !job.is_unblocked(task.id) {
-                continue;
-            }
             let Some(target_at) = self.choose(job, task.id, task.avoid.as_deref(), now_ms) else {
                 continue;
             };
@@ -68,12 +71,19 @@
         started
     }
 
-    /// Returns whether no order of an earlier dispatcher can have effect any more.
-    fn is_settled(&self, service: &str, now_ms: u64) -> bool {
-        let of_service = |target: &&Target| target.info().service.as_ref() == service;
-        let mut targets = self.targets.iter().filter(of_service).peekable();
-        now_ms >= self.since_ms + LEASE_GONE_MS
-            || (targets.peek().is_some() && targets.all(Target::is_fenced))
+    /// Returns whether every run of the job that an earlier dispatcher started is known.
+    fn is_settled(&self, job: &JobState, now_ms: u64) -> bool {
+        match job.submission().earlier_runs {
+            EarlierRuns::None => true,
+            EarlierRuns::AnyZone => now_ms >= self.since_ms + LENT_GONE_MS,
+            EarlierRuns::OwnZone => {
+                let service = &job.submission().queue.service;
+                let of_service = |target: &&Target| target.info().service == *service;
+                let mut targets = self.targets.iter().filter(of_service).peekable();
+                now_ms >= self.since_ms + LEASE_GONE_MS
+                    || (targets.peek().is_some() && targets.all(Target::is_fenced))
+            }
+        }
     }
 
     /// Returns the target with the least room left over that fits the task, one on the rack
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -215,26 +215,28 @@
     pub job: BatchJob,
     /// The rules of its queue when it was received.
     pub queue: QueueRules,
-    /// Whether an earlier dispatcher may have started tasks of it.
-    pub resumed: bool,
-    /// Whether it may run, or runs, on the targets of another zone.
-    pub lending: Lending,
-    /// The step and index of each task that an earlier dispatcher saw done.
+    /// Where tasks of it may have been started by an earlier dispatcher.
+    pub earlier_runs: EarlierRuns,
+    /// The number of the part, if the dispatcher of another zone asks to have part of a job
+    /// started at once or refused.
+    pub part: Option<u32>,
+    /// The step and index of each task that is not to be run: done, or in another part.
     pub done: Vec<(u16, u16)>,
     /// How long the caller has waited already.
     pub waited_ms: u64,
 }
 
-/// How a job stands with the targets of other zones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Where runs of a job may go on that an earlier dispatcher started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Lending {
-    /// It may be offered to another zone.
-    Allowed,
-    /// It comes from another zone, and is to be started at once or refused.
-    Lent,
-    /// It stays in its own zone: another one had no room, or contact with it was lost.
-    Over,
+pub enum EarlierRuns {
+    /// Nowhere.
+    #[default]
+    None,
+    /// On targets of the dispatcher's own zone, whose listings show them.
+    OwnZone,
+    /// On targets of any zone.
+    AnyZone,
 }
 
 /// Why a job was refused before any of its tasks was started.
@@ -272,6 +274,8 @@
     Moved {
         /// The step and index of each task that is done.
         done: Vec<(u16, u16)>,
+        /// Where other tasks may still run.
+        earlier_runs: EarlierRuns,
     },
     /// Contact with the dispatcher that had the job is lost; its tasks may have run.
     Unknown,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -22,10 +22,10 @@
 
 pub use crate::{
     capacity::Capacity,
-    dispatcher::{Action, Dispatcher, Load, StartOutcome, Ticket},
+    dispatcher::{Action, Dispatcher, LENT_GONE_MS, LentOutcome, Load, StartOutcome, Ticket},
     estimate::RunTimes,
     job::{
-        BatchJob, JobAnswer, JobId, Lending, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
+        BatchJob, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
         RunEnd, StepSpec, Submission, TaskId,
     },
     target::{
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -96,8 +96,12 @@
     RequestResumed = 607,
     /// A request could not be understood; nothing was run.
     RequestInvalid = 608,
-    /// A job was passed on to the dispatcher of another availability zone.
+    /// Tasks of a job were offered to the dispatcher of another availability zone.
     JobLent = 609,
+    /// The dispatcher of another availability zone has answered for the tasks that it was offered.
+    PartSettled = 610,
+    /// A job was asked for of which other tasks run here for another availability zone.
+    RivalPart = 611,
     /// An order to start a task was sent.
     TaskStarted = 620,
     /// A target did not carry out an order to start a task; the task waits again.
