--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -218,6 +218,17 @@
         request.ext().get().cloned()
     }
 
+    /// Returns whether the peer has closed the connection.
+    ///
+    /// To be asked after the body was read: a request that waited while this process stood
+    /// still may have been given up, and perhaps sent to another process.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [0];
+        let peek = self.0.peek(&mut byte);
+        pin_mut!(peek);
+        matches!(peek.now_or_never(), Some(Ok(0) | Err(_)))
+    }
+
     /// Returns when the peer has closed the connection.
     ///
     /// To be awaited after the body was read. Pends forever once the peer has sent
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -94,6 +94,9 @@
         Ok(body) => body,
         Err(error) => return invalid(&error),
     };
+    if connection.as_ref().is_some_and(PeerConnection::is_closed) {
+        return Response::new(StatusCode::RequestTimeout);
+    }
     let job = match decode_job(id, &body, peer) {
         Ok(Ok(job)) => job,
         Ok(Err(feature)) => {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,7 +11,7 @@
 
 use async_std::task;
 use futures::channel::oneshot;
-use ggb_adapter::{HoldReply, TargetClient};
+use ggb_adapter::{HoldReply, StartReply, TargetClient};
 use ggb_model::Zone;
 use ggb_placement::{
     Action, Dispatcher, EarlierRuns, JobAnswer, LEASE_MS, LentOutcome, Load, Run, Submission,
@@ -41,6 +41,8 @@
 pub(crate) struct Owner {
     shared: Arc<Shared>,
     client: TargetClient,
+    /// The token of this owner's claim.
+    token: u64,
     core: Mutex<Core>,
     stopped: AtomicBool,
 }
@@ -59,6 +61,25 @@
     JobAnswer::Moved { done: Vec::new(), earlier_runs: EarlierRuns::AnyZone }
 }
 
+/// A request for a listing.
+struct Question {
+    addr: SocketAddr,
+    token_offset: u64,
+    ack_cursor: u64,
+    lease_until_clock_ms: Option<u64>,
+    wait_ms: u64,
+}
+
+/// An order to start a run.
+struct StartOrder {
+    target: Arc<str>,
+    addr: SocketAddr,
+    run: Run,
+    spec: Arc<str>,
+    valid_until_clock_ms: u64,
+    token_offset: u64,
+}
+
 /// A caller's place in the queue; giving it up withdraws the job.
 pub(crate) struct Waiter {
     owner: Arc<Owner>,
@@ -85,12 +106,13 @@
     pub(crate) fn spawn(shared: Arc<Shared>, token: u64) -> Arc<Self> {
         let run_times = shared.run_times.lock().clone();
         let dispatcher = Dispatcher::new(run_times, shared.now_ms());
-        let client = TargetClient::new(Arc::clone(&shared.http), token);
+        let client = TargetClient::new(Arc::clone(&shared.http));
         let core = Core { dispatcher, waiters: Vec::new(), next_ticket: 0, recalls: Vec::new() };
         let targets = shared.targets.lock().clone();
         let owner = Arc::new(Owner {
             shared,
             client,
+            token,
             core: Mutex::new(core),
             stopped: AtomicBool::new(false),
         });
@@ -183,13 +205,13 @@
 
     fn act(self: &Arc<Self>, action: Action) {
         match action {
-            Action::Start { target, addr, run, spec, valid_until_clock_ms } => {
-                let owner = Arc::clone(self);
-                let start = owner.start(target, addr, run, spec, valid_until_clock_ms);
-                task::spawn(start);
+            Action::Start { target, addr, run, spec, valid_until_clock_ms, token_offset } => {
+                let order =
+                    StartOrder { target, addr, run, spec, valid_until_clock_ms, token_offset };
+                task::spawn(Arc::clone(self).start(order));
             }
-            Action::Stop { target, addr, run } => {
-                task::spawn(Arc::clone(self).stop_run(target, addr, run));
+            Action::Stop { target, addr, run, token_offset } => {
+                task::spawn(Arc::clone(self).stop_run(target, addr, run, token_offset));
             }
             Action::Look { target } => {
                 task::spawn(Arc::clone(self).look(target));
@@ -214,27 +236,35 @@
         }
     }
 
-    async fn start(
-        self: Arc<Self>,
-        target: Arc<str>,
-        addr: SocketAddr,
-        run: Run,
-        spec: Arc<str>,
-        valid_until_clock_ms: u64,
-    ) {
-        let sent =
-            self.client.start(&target, addr, run, &spec, valid_until_clock_ms, ORDER_TIMEOUT_MS);
+    async fn start(self: Arc<Self>, order: StartOrder) {
+        let StartOrder { target, addr, run, spec, valid_until_clock_ms, token_offset } = order;
+        let sent = self.client.start(
+            self.token + token_offset,
+            (&target, addr),
+            run,
+            &spec,
+            valid_until_clock_ms,
+            ORDER_TIMEOUT_MS,
+        );
         let reply = sent.await;
         let outcome = format!("{:?}", reply.outcome);
         self.shared.metrics.orders.with_label_values(&["start", &outcome]).inc();
         self.with(|dispatcher, now_ms| {
-            dispatcher.start_settled(&target, run, reply.outcome, reply.clock_ms, now_ms);
+            let StartReply { outcome, clock_ms } = reply;
+            dispatcher.start_settled(&target, run, token_offset, outcome, clock_ms, now_ms);
         });
         self.step_down_if_fenced();
     }
 
-    async fn stop_run(self: Arc<Self>, target: Arc<str>, addr: SocketAddr, run: Run) {
-        let answered = self.client.stop(&target, addr, run, ORDER_TIMEOUT_MS).await;
+    async fn stop_run(
+        self: Arc<Self>,
+        target: Arc<str>,
+        addr: SocketAddr,
+        run: Run,
+        token_offset: u64,
+    ) {
+        let token = self.token + token_offset;
+        let answered = self.client.stop(token, (&target, addr), run, ORDER_TIMEOUT_MS).await;
         let outcome = if answered { "answered" } else { "unanswered" };
         self.shared.metrics.orders.with_label_values(&["stop", outcome]).inc();
     }
@@ -262,7 +292,7 @@
 
     /// Asks a target for a listing. Returns whether it gave one, nothing if it is not known.
     async fn ask(self: &Arc<Self>, target: &str, wait_ms: u64) -> Option<bool> {
-        let (addr, ack_cursor, lease, wait_ms) = self.with(|dispatcher, now_ms| {
+        let question = self.with(|dispatcher, now_ms| {
             let known = dispatcher.target_mut(target)?;
             // The first listing only tells what is there; a target that may not answer
             // gets no longer lease, so that what runs there ends at a known time.
@@ -271,14 +301,25 @@
             if clock_ms.is_some() {
                 known.note_lease_sent(now_ms);
             }
-            let wait_ms = if renew { wait_ms } else { 0 };
-            let lease = clock_ms.map(|clock_ms| clock_ms + LEASE_MS);
-            Some((known.info().addr, known.ack_cursor(), lease, wait_ms))
+            Some(Question {
+                addr: known.info().addr,
+                token_offset: known.token_offset(),
+                ack_cursor: known.ack_cursor(),
+                lease_until_clock_ms: clock_ms.map(|clock_ms| clock_ms + LEASE_MS),
+                wait_ms: if renew { wait_ms } else { 0 },
+            })
         })?;
+        let Question { addr, token_offset, ack_cursor, lease_until_clock_ms, wait_ms } = question;
         let asked_at_ms = self.shared.now_ms();
-        let timeout_ms = wait_ms + ORDER_TIMEOUT_MS;
-        let reply = self.client.hold(target, addr, ack_cursor, lease, wait_ms, timeout_ms).await;
-        let (outcome, answered) = match reply {
+        let held = self.client.hold(
+            self.token + token_offset,
+            (target, addr),
+            ack_cursor,
+            lease_until_clock_ms,
+            wait_ms,
+            wait_ms + ORDER_TIMEOUT_MS,
+        );
+        let (outcome, answered) = match held.await {
             Ok(HoldReply::Listed(listing)) => {
                 self.with(|dispatcher, now_ms| {
                     dispatcher.listed(target, &listing, asked_at_ms, now_ms);
@@ -287,7 +328,13 @@
                 ("listed", true)
             }
             Ok(HoldReply::Fenced) => {
-                self.fenced_off();
+                let current = self.with(|dispatcher, _| {
+                    dispatcher.target_mut(target).map(|known| known.token_offset())
+                });
+                // A question to an earlier life of the target has a lower token.
+                if current == Some(token_offset) {
+                    self.fenced_off();
+                }
                 ("fenced", false)
             }
             Ok(HoldReply::OtherLife) => {
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -79,6 +79,9 @@
     submission: Submission,
     connection: Option<PeerConnection>,
 ) -> Response {
+    if connection.as_ref().is_some_and(PeerConnection::is_closed) {
+        return Response::new(StatusCode::RequestTimeout);
+    }
     let Some(owner) = shared.owner.load_full() else {
         let earlier_runs = EarlierRuns::None;
         let moved = JobAnswer::Moved { done: Vec::new(), earlier_runs };
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -98,6 +98,8 @@
         spec: Arc<str>,
         /// Until when on the target's clock the order is valid.
         valid_until_clock_ms: u64,
+        /// What to add to the dispatcher's token.
+        token_offset: u64,
     },
     /// Order a target to stop a run.
     Stop {
@@ -107,6 +109,8 @@
         addr: SocketAddr,
         /// The run.
         run: Run,
+        /// What to add to the dispatcher's token.
+        token_offset: u64,
     },
     /// Ask a target for a listing at once.
     Look {
@@ -310,13 +314,15 @@
         &mut self,
         id: &str,
         run: Run,
+        token_offset: u64,
         outcome: StartOutcome,
         clock_ms: Option<u64>,
         now_ms: u64,
     ) {
-        self.fenced |= outcome == StartOutcome::Fenced;
         let Some(at) = self.target_index(id) else { return };
         let target = &mut self.targets[at];
+        // An order that was meant for an earlier life of the target has a lower token.
+        self.fenced |= outcome == StartOutcome::Fenced && token_offset == target.token_offset();
         if let Some(clock_ms) = clock_ms {
             target.read_clock(clock_ms, now_ms);
         }
@@ -537,8 +543,9 @@
     fn stop(&mut self, at: usize, run: Run, now_ms: u64) {
         let target = &mut self.targets[at];
         if target.set_phase(run, RunPhase::Stopping, now_ms) {
+            let token_offset = target.token_offset();
             let (target, addr) = (Arc::clone(&target.info().id), target.info().addr);
-            self.actions.push(Action::Stop { target, addr, run });
+            self.actions.push(Action::Stop { target, addr, run, token_offset });
         }
     }
 
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -134,6 +134,7 @@
             run,
             spec: Arc::clone(&job.submission().job.spec),
             valid_until_clock_ms,
+            token_offset: target.token_offset(),
         });
     }
 }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -140,6 +140,8 @@
     pub ordered_at_ms: u64,
     /// The last moment on the target's clock at which it may begin.
     pub valid_until_clock_ms: u64,
+    /// The offset of the token under which it was ordered.
+    pub token_offset: u64,
     /// How long it is expected to run.
     pub expected_ms: u64,
     /// The share of its work that was last listed, and when it last changed.
@@ -174,6 +176,9 @@
     last_end: u64,
     /// The life and clock of the last listing, and when it arrived.
     clock: Option<ClockReading>,
+    /// How many lives of the target were seen to begin, and when the last one was.
+    token_offset: u64,
+    life_since_ms: u64,
     /// When a message was last sent that could extend the lease.
     lease_sent_at_ms: u64,
     failures_in_row: u32,
@@ -202,6 +207,8 @@
             recent_ends: Vec::new(),
             last_end: 0,
             clock: None,
+            token_offset: 0,
+            life_since_ms: 0,
             lease_sent_at_ms: 0,
             failures_in_row: 0,
             ejections: 0,
@@ -240,6 +247,14 @@
         self.clock.is_some()
     }
 
+    /// Returns what to add to the dispatcher's token for orders to this life of the target.
+    ///
+    /// A new life knows no token and another clock, so that it would carry out orders that
+    /// were meant for the life before it; a higher token makes it refuse them.
+    pub const fn token_offset(&self) -> u64 {
+        self.token_offset
+    }
+
     /// Returns what runs there.
     pub fn runs(&self) -> &[TargetRun] {
         &self.runs
@@ -360,6 +375,7 @@
             since_ms: now_ms,
             ordered_at_ms: now_ms,
             valid_until_clock_ms,
+            token_offset: self.token_offset,
             expected_ms,
             percent: 0,
             progress_at_ms: now_ms,
@@ -425,7 +441,7 @@
                 if listing.born_unix_ms < last.born_unix_ms {
                     return ended;
                 }
-                self.begin_new_life(&mut ended);
+                self.begin_new_life(now_ms, &mut ended);
             }
             Some(last) if listing.clock_ms < last.clock_ms => return ended,
             _ => {}
@@ -453,9 +469,17 @@
         }
     }
 
-    fn begin_new_life(&mut self, ended: &mut Vec<EndedRun>) {
-        ended.extend(self.runs.drain(..).map(|held| EndedRun::known(held, RunEnd::Lost)));
-        self.used = Capacity::default();
+    /// Ends what ran in the life before. Orders that are under way may reach the new life.
+    fn begin_new_life(&mut self, now_ms: u64, ended: &mut Vec<EndedRun>) {
+        self.token_offset += 1;
+        self.life_since_ms = now_ms;
+        let is_under_way =
+            |held: &TargetRun| matches!(held.phase, RunPhase::Ordered | RunPhase::Unanswered);
+        let over: Vec<Run> =
+            self.runs.iter().filter(|held| !is_under_way(held)).map(|held| held.run).collect();
+        for run in over {
+            ended.extend(self.release(run).map(|held| EndedRun::known(held, RunEnd::Lost)));
+        }
         self.recent_ends.clear();
         self.last_end = 0;
     }
@@ -494,6 +518,7 @@
                     since_ms: now_ms,
                     ordered_at_ms: now_ms,
                     valid_until_clock_ms: 0,
+                    token_offset: self.token_offset,
                     expected_ms: 0,
                     percent: listed.percent,
                     progress_at_ms: now_ms,
@@ -508,6 +533,9 @@
         let is_missing = |held: &TargetRun| {
             let due = match held.phase {
                 RunPhase::Ordered => false,
+                RunPhase::Unanswered if held.token_offset < self.token_offset => {
+                    asked_at_ms > self.life_since_ms
+                }
                 RunPhase::Unanswered => listing.clock_ms > held.valid_until_clock_ms,
                 RunPhase::Running | RunPhase::Stopping | RunPhase::Orphaned => {
                     held.since_ms < asked_at_ms
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,16 +5,19 @@
 //! None of this is part of the system; it takes the place of what the system talks
 //! to, in tests, in the load tool and for a first try.
 //!
+//! * [`ModelTarget`] does what a target of the users' platform does, without I/O.
 //! * [`PlatformStandin`] is a table service and a list of VMs, with [`TableFault`]s.
 //! * [`TargetStandin`] runs tasks by waiting, and logs what it starts.
 //! * [`Relay`] stands in front of processes and cuts or delays traffic by [`LinkRule`]s.
 
+mod model_target;
 mod platform;
 mod relay;
 mod target;
 mod target_log;
 
 pub use crate::{
+    model_target::{ModelMode, ModelTarget, ModelWork, RunRecord},
     platform::{PlatformStandin, TableFault},
     relay::{Endpoints, LinkEffect, LinkRule, Relay},
     target::{TargetMode, TargetOptions, TargetStandin, TaskPayload},
