--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -294,10 +294,8 @@
     async fn ask(self: &Arc<Self>, target: &str, wait_ms: u64) -> Option<bool> {
         let question = self.with(|dispatcher, now_ms| {
             let known = dispatcher.target_mut(target)?;
-            // The first listing only tells what is there; a target that may not answer
-            // gets no longer lease, so that what runs there ends at a known time.
-            let renew = known.is_fenced() && !known.is_unreachable();
-            let clock_ms = known.clock_at(now_ms).filter(|_| renew);
+            let is_current = known.is_fenced() && !known.is_unreachable();
+            let clock_ms = known.clock_at(now_ms).filter(|_| known.is_renewable());
             if clock_ms.is_some() {
                 known.note_lease_sent(now_ms);
             }
@@ -306,7 +304,7 @@
                 token_offset: known.token_offset(),
                 ack_cursor: known.ack_cursor(),
                 lease_until_clock_ms: clock_ms.map(|clock_ms| clock_ms + LEASE_MS),
-                wait_ms: if renew { wait_ms } else { 0 },
+                wait_ms: if is_current { wait_ms } else { 0 },
             })
         })?;
         let Question { addr, token_offset, ack_cursor, lease_until_clock_ms, wait_ms } = question;
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -13,7 +13,8 @@
 use ggb_model::Zone;
 
 use crate::{
-    JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Submission, Target, TargetInfo,
+    JobAnswer, JobId, LEASE_GONE_MS, RefusalReason, Run, RunPhase, RunTimes, Submission, Target,
+    TargetInfo,
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{Lender, LentPart},
@@ -26,9 +27,10 @@
 /// process that lost the connection asks again within this time.
 const ABANDONED_GRACE_MS: u64 = 150;
 
-/// How long a run of an earlier dispatcher may go on before somebody asks for its job.
-/// Entry processes learn of a new dispatcher within two intervals of the heartbeat.
-const ORPHAN_GRACE_MS: u64 = 450;
+/// How long a run of an earlier dispatcher may go on before somebody asks for its job. A new
+/// owner says at once that it is there, and what waits for one that is silent gives up
+/// within 150 ms of that.
+const ORPHAN_GRACE_MS: u64 = 200;
 
 /// How long the answer of a finished job is kept for a repeated request.
 const ANSWER_KEPT_MS: u64 = 15_000;
@@ -48,6 +50,10 @@
 /// run ends, and silence may mean that the answer was lost.
 const OVERDUE_MS: u64 = 40;
 
+/// A pause of the process after which it may have been taken for dead. Another VM claims the
+/// targets of an owner that is silent for 450 ms.
+const PAUSED_MS: u64 = 400;
+
 /// The pause before an order to stop a run is sent again.
 const STOP_RETRY_MS: u64 = 100;
 
@@ -172,6 +178,10 @@
 pub struct Dispatcher {
     /// When it took over.
     since_ms: u64,
+    /// When it was last told anything.
+    told_at_ms: u64,
+    /// Since when it makes sure after a pause that the targets are still its own.
+    verifies_since_ms: Option<u64>,
     /// Sorted by name.
     targets: Vec<Target>,
     /// Sorted by job.
@@ -206,6 +216,8 @@
     pub const fn new(run_times: RunTimes, now_ms: u64) -> Self {
         Dispatcher {
             since_ms: now_ms,
+            told_at_ms: now_ms,
+            verifies_since_ms: None,
             targets: Vec::new(),
             jobs: Vec::new(),
             waiting: Vec::new(),
@@ -319,6 +331,7 @@
         clock_ms: Option<u64>,
         now_ms: u64,
     ) {
+        self.note_time(now_ms);
         let Some(at) = self.target_index(id) else { return };
         let target = &mut self.targets[at];
         // An order that was meant for an earlier life of the target has a lower token.
@@ -371,6 +384,7 @@
     /// Does what has become due: lapsed leases, stalled and orphaned runs, abandoned jobs,
     /// refusals of jobs that waited long enough.
     pub fn tick(&mut self, now_ms: u64) {
+        self.note_time(now_ms);
         self.lapse_leases(now_ms);
         self.stop_overdue_runs(now_ms);
         self.close_abandoned(now_ms);
@@ -388,6 +402,31 @@
         !self.jobs.is_empty()
     }
 
+    /// Notes that time has passed. After a pause of the process another one may own the
+    /// targets: each is then asked again before anything is started, since a target that
+    /// crashed meanwhile would obey any token.
+    fn note_time(&mut self, now_ms: u64) {
+        let paused_ms = now_ms.saturating_sub(self.told_at_ms);
+        self.told_at_ms = now_ms;
+        if paused_ms > PAUSED_MS {
+            log_event!(warn, ProcessPaused, paused_ms);
+            self.verifies_since_ms = Some(now_ms);
+            self.targets.iter_mut().for_each(|target| target.forget_listing(now_ms));
+            (0..self.targets.len()).for_each(|at| self.look(at, now_ms));
+        }
+    }
+
+    /// Returns whether every target has answered since the last pause of the process.
+    fn is_verified(&mut self, now_ms: u64) -> bool {
+        let Some(since_ms) = self.verifies_since_ms else { return true };
+        let is_verified = now_ms >= since_ms + LEASE_GONE_MS
+            || self.targets.iter().all(|target| target.is_fenced() || target.is_gone());
+        if is_verified {
+            self.verifies_since_ms = None;
+        }
+        is_verified
+    }
+
     fn lapse_leases(&mut self, now_ms: u64) {
         let mut lapsed = Vec::new();
         for target in &mut self.targets {
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -27,11 +27,19 @@
 /// The shortest time after which a refused caller is told to come back, in ms.
 const RETRY_AFTER_MIN_MS: u64 = 1_000;
 
+/// How long tasks of a job are expected to wait for room.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedWait {
+    first_ms: u64,
+    last_ms: u64,
+}
+
 impl Dispatcher {
     /// Takes in a job whose caller waits under `ticket`.
     ///
     /// A copy of a job that is known joins it, and gets the answer that the first one got.
     pub fn submit(&mut self, submission: Submission, ticket: Ticket, now_ms: u64) {
+        self.note_time(now_ms);
         let id = submission.job.id;
         self.observe_demand(&submission);
         if let Ok(at) = self.answers.binary_search_by_key(&id, |kept| kept.job)
@@ -93,6 +101,12 @@
         }
     }
 
+    /// Returns until when jobs are queued though no target has answered yet: after it took
+    /// over, and after a pause of the process.
+    fn warm_up_until_ms(&self) -> u64 {
+        self.verifies_since_ms.unwrap_or(self.since_ms) + WARM_UP_MS
+    }
+
     /// Answers a request for a job of which another part runs here.
     fn answer_rival(&mut self, submission: &Submission, ticket: Ticket) {
         let answer = match submission.part {
@@ -113,12 +127,16 @@
         let of_service = |target: &&Target| target.info().service == *service && !target.is_gone();
         let mut targets = self.targets.iter().filter(of_service).peekable();
         if targets.peek().is_none() {
-            return match now_ms < self.since_ms + WARM_UP_MS {
+            return match now_ms < self.warm_up_until_ms() {
                 true if !is_lent => Ok(0),
                 _ => Err((RefusalReason::NoTargets, RETRY_AFTER_MIN_MS)),
             };
         }
         let targets: Vec<&Target> = targets.collect();
+        let is_known = targets.iter().any(|target| target.is_fenced());
+        if !is_known && now_ms < self.warm_up_until_ms() && !is_lent {
+            return Ok(0);
+        }
         let fits = |demand| targets.iter().any(|target| target.info().capacity.fits(demand));
         if !job.demands().all(fits) {
             return Err((RefusalReason::TooLarge, 0));
@@ -126,12 +144,12 @@
         if self.has_room_for(job, &targets, now_ms) {
             return Ok(0);
         }
-        let wait_ms = self.expected_wait_ms(job);
-        let limit_ms = job.objective_ms() * QUEUE_SHARE_PERCENT / 100;
-        let waited_ms = now_ms - job.sent_at_ms();
-        match waited_ms + wait_ms <= limit_ms && !is_lent {
-            true => Ok(wait_ms),
-            false => Err((RefusalReason::Overloaded, wait_ms.max(RETRY_AFTER_MIN_MS))),
+        let wait = self.expected_wait(job);
+        let starts_in_time = now_ms + wait.first_ms <= job.queue_until_ms(QUEUE_SHARE_PERCENT);
+        let ends_in_time = now_ms + wait.last_ms <= job.latest_start_ms();
+        match starts_in_time && ends_in_time && !is_lent {
+            true => Ok(wait.last_ms),
+            false => Err((RefusalReason::Overloaded, wait.last_ms.max(RETRY_AFTER_MIN_MS))),
         }
     }
 
@@ -167,8 +185,8 @@
         }
     }
 
-    /// Returns how long the last task of a job is expected to wait, in ms.
-    fn expected_wait_ms(&self, job: &JobState) -> u64 {
+    /// Returns how long the first and the last task of a job are expected to wait.
+    fn expected_wait(&self, job: &JobState) -> ExpectedWait {
         let waiting = job.waiting();
         let ahead = self.waiting.iter().take_while(|ahead| ahead.priority <= waiting.priority);
         let ahead_work: u64 =
@@ -176,11 +194,14 @@
         let load = self.load();
         let rate = (load.total_cpu_milli * PACKED_PERCENT / 100).max(1);
         let free_work = load.free_cpu_milli * job.expected_ms.iter().max().copied().unwrap_or(0);
-        (ahead_work + job.waiting_work()).saturating_sub(free_work) / rate
+        ExpectedWait {
+            first_ms: ahead_work.saturating_sub(free_work) / rate,
+            last_ms: (ahead_work + job.waiting_work()).saturating_sub(free_work) / rate,
+        }
     }
 
     pub(super) fn retry_after_ms(&self, id: JobId) -> u64 {
-        let wait_ms = self.job(id).map_or(0, |job| self.expected_wait_ms(job));
+        let wait_ms = self.job(id).map_or(0, |job| self.expected_wait(job).last_ms);
         wait_ms.max(RETRY_AFTER_MIN_MS)
     }
 }
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -54,6 +54,7 @@
 impl Dispatcher {
     /// Takes in how many tasks of the usual size another zone has room for.
     pub fn room_heard(&mut self, zone: &Zone, free_tasks: u64, now_ms: u64) {
+        self.note_time(now_ms);
         let lender = Lender { zone: zone.clone(), free_tasks, heard_at_ms: now_ms };
         match self.lenders.binary_search_by(|lender| lender.zone.cmp(zone)) {
             Ok(at) => self.lenders[at] = lender,
@@ -110,6 +111,7 @@
 
     /// Takes in what became of a part.
     pub fn lent_settled(&mut self, part: u32, outcome: LentOutcome, now_ms: u64) {
+        self.note_time(now_ms);
         let Some(at) = self.lent_parts.iter().position(|lent| lent.part == part) else { return };
         let lent = self.lent_parts.swap_remove(at);
         log_event!(debug, PartSettled, job = %lent.job, zone = %lent.zone, part, outcome = ?outcome);
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -12,6 +12,7 @@
 impl Dispatcher {
     /// Takes in a listing of a target that was asked for at `asked_at_ms`.
     pub fn listed(&mut self, id: &str, listing: &Listing, asked_at_ms: u64, now_ms: u64) {
+        self.note_time(now_ms);
         let Some(at) = self.target_index(id) else { return };
         let first = !self.targets[at].is_fenced();
         let ended = self.targets[at].apply(listing, asked_at_ms, now_ms);
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -16,7 +16,7 @@
 impl Dispatcher {
     /// Starts waiting tasks where there is room.
     pub(super) fn place(&mut self, now_ms: u64) {
-        if self.waiting.is_empty() || self.fenced {
+        if self.waiting.is_empty() || self.fenced || !self.is_verified(now_ms) {
             return;
         }
         let mut largest_free = self.largest_free(now_ms);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -176,6 +176,9 @@
     last_end: u64,
     /// The life and clock of the last listing, and when it arrived.
     clock: Option<ClockReading>,
+    /// When the last listing was asked for, and since when one has to be asked for.
+    listing_asked_ms: u64,
+    listing_due_ms: u64,
     /// How many lives of the target were seen to begin, and when the last one was.
     token_offset: u64,
     life_since_ms: u64,
@@ -207,6 +210,8 @@
             recent_ends: Vec::new(),
             last_end: 0,
             clock: None,
+            listing_asked_ms: 0,
+            listing_due_ms: 0,
             token_offset: 0,
             life_since_ms: 0,
             lease_sent_at_ms: 0,
@@ -244,7 +249,7 @@
     /// Returns whether its first listing has arrived, so that no earlier dispatcher can
     /// start tasks there any more.
     pub const fn is_fenced(&self) -> bool {
-        self.clock.is_some()
+        self.clock.is_some() && self.listing_asked_ms >= self.listing_due_ms
     }
 
     /// Returns what to add to the dispatcher's token for orders to this life of the target.
@@ -285,6 +290,12 @@
             && self.failures_in_row < FAILURES_BEFORE_PROBE
     }
 
+    /// Forgets the last listing, so that the target is not used before one that is asked for
+    /// from now on.
+    pub const fn forget_listing(&mut self, now_ms: u64) {
+        self.listing_due_ms = now_ms;
+    }
+
     /// Returns the target's clock as it should stand at `now_ms`.
     pub fn clock_at(&self, now_ms: u64) -> Option<u64> {
         self.clock.map(|clock| clock.clock_ms + now_ms.saturating_sub(clock.read_at_ms))
@@ -306,6 +317,16 @@
         now_ms >= self.lease_sent_at_ms + LEASE_GONE_MS
     }
 
+    /// Returns whether its lease may be extended.
+    ///
+    /// Not before the first listing; not while it may not answer, so that what runs there
+    /// ends at a known time; and not while runs of an earlier dispatcher are there that
+    /// nobody asked for, or they could outlive several dispatchers in a row.
+    pub fn is_renewable(&self) -> bool {
+        let is_orphaned = |held: &TargetRun| held.phase == RunPhase::Orphaned;
+        self.is_fenced() && !self.unreachable && !self.runs.iter().any(is_orphaned)
+    }
+
     /// Returns whether the target answered the last message.
     pub const fn is_unreachable(&self) -> bool {
         self.unreachable
@@ -446,6 +467,7 @@
             Some(last) if listing.clock_ms < last.clock_ms => return ended,
             _ => {}
         }
+        self.listing_asked_ms = self.listing_asked_ms.max(asked_at_ms);
         self.clock = Some(ClockReading {
             born_unix_ms: listing.born_unix_ms,
             clock_ms: listing.clock_ms,
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -147,7 +147,7 @@
     }
 });
 
-case!(everything_at_once, 0..60, |world| {
+case!(everything_at_once, 0..200, |world| {
     world.faults = Faults { lost: 15, late: 15, unanswered: 15 };
     for _ in 0..12 {
         traffic(world, 400, 20);
--- a/crates/placement/tests/world/links.rs
+++ b/crates/placement/tests/world/links.rs
@@ -142,13 +142,13 @@
         let now_ms = self.now_ms;
         let name = self.targets[at].info.id.clone();
         let Some(known) = self.owners[id].dispatcher.target_mut(&name) else { return };
-        let renew = known.is_fenced() && !known.is_unreachable();
-        let clock_ms = known.clock_at(now_ms).filter(|_| renew);
+        let is_current = known.is_fenced() && !known.is_unreachable();
+        let clock_ms = known.clock_at(now_ms).filter(|_| known.is_renewable());
         if clock_ms.is_some() {
             known.note_lease_sent(now_ms);
         }
         let ack_cursor = known.ack_cursor();
-        let wait_ms = if renew { wait_ms } else { 0 };
+        let wait_ms = if is_current { wait_ms } else { 0 };
         let lease = clock_ms.map(|clock_ms| clock_ms + LEASE_MS);
         let token_offset = known.token_offset();
         let token = self.owners[id].token + token_offset;
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -96,10 +96,18 @@
     pub answer: Option<(u64, JobAnswer)>,
     /// Whether the caller left and does not want an answer.
     pub gave_up: bool,
+    /// The number of the connection; what belongs to an earlier one is void.
+    connection: u32,
     /// Whether any try ended without a truthful refusal.
     pub broke_off: bool,
 }
 
+impl Caller {
+    fn waits_on(&self, connection: u32) -> bool {
+        self.answer.is_none() && !self.gave_up && self.connection == connection
+    }
+}
+
 /// Zones, targets and callers.
 pub struct World {
     pub now_ms: u64,
@@ -389,6 +397,7 @@
             sent_at_ms: self.now_ms,
             answer: None,
             gave_up: false,
+            connection: 0,
             broke_off: false,
         });
         self.offer(caller, zone);
@@ -414,6 +423,7 @@
 
     fn leave(&mut self, caller: usize) {
         self.callers[caller].broke_off = true;
+        self.callers[caller].connection += 1;
         for id in 0..self.owners.len() {
             let is_own = |waiter: &Waiter| matches!(waiter, Waiter::Caller(own) if *own == caller);
             let tickets: Vec<Ticket> = self.owners[id]
@@ -430,6 +440,7 @@
     }
 
     fn resend(&mut self, caller: usize, zone: usize) {
+        self.callers[caller].connection += 1;
         self.after(RESEND_MS, move |world| {
             world.callers[caller].submission.earlier_runs = EarlierRuns::None;
             world.callers[caller].submission.done.clear();
@@ -439,24 +450,25 @@
 
     /// Passes a job to the owner of a zone as soon as there is one.
     fn offer(&mut self, caller: usize, zone: usize) {
-        let state = &self.callers[caller];
-        if state.answer.is_some() || state.gave_up {
-            return;
-        }
+        let connection = self.callers[caller].connection;
         let Some(id) = self.current[zone] else {
-            self.after(20, move |world| world.offer(caller, zone));
+            self.after(20, move |world| {
+                if world.callers[caller].waits_on(connection) {
+                    world.offer(caller, zone);
+                }
+            });
             return;
         };
         self.after(NEAR_MS, move |world| {
+            if !world.callers[caller].waits_on(connection) {
+                return;
+            }
             if !world.owners[id].is_alive {
                 world.offer(caller, zone);
                 return;
             }
             let now_ms = world.now_ms;
             let state = &world.callers[caller];
-            if state.answer.is_some() || state.gave_up {
-                return;
-            }
             let waited_ms = now_ms - state.sent_at_ms;
             let submission = Submission { waited_ms, ..state.submission.clone() };
             world.submit_to(id, submission, Waiter::Caller(caller));
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -134,6 +134,8 @@
     OwnerChanged = 662,
     /// The readiness of the process changed.
     ReadinessChanged = 663,
+    /// The process stood still for so long that its targets may have another owner by now.
+    ProcessPaused = 664,
     /// The platform's store does not answer; what is known stays in use.
     StoreUnreachable = 680,
     /// The platform's store answers again.
