--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -70,6 +70,8 @@
     pub configuration_version: u64,
     /// How many tasks of the usual size its targets have room for, if it is an owner.
     pub free_tasks: u64,
+    /// How many tasks wait for room on its targets.
+    pub queued_tasks: u64,
 }
 
 /// A claim of another VM.
@@ -208,6 +210,15 @@
         claims.max_by_key(|peer| peer.heartbeat.claim)
     }
 
+    /// Returns whether tasks wait in another zone.
+    pub fn is_room_wanted(&self, now_ms: u64) -> bool {
+        self.peers.iter().any(|peer| {
+            peer.heartbeat.queued_tasks > 0
+                && peer.heartbeat.node.zone != self.own.zone
+                && peer.is_alive(now_ms)
+        })
+    }
+
     /// Returns what this VM tells its peers, without load and configuration.
     pub fn heartbeat(&self, now_ms: u64) -> Heartbeat {
         let heard = self.peers.iter().filter(|peer| peer.is_alive(now_ms));
@@ -225,6 +236,7 @@
             heard: heard.collect(),
             configuration_version: 0,
             free_tasks: 0,
+            queued_tasks: 0,
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,6 +19,9 @@
 /// task.
 const ROOM_INTERVAL_MS: u64 = 25;
 
+/// The same while tasks wait in another zone and there is room for them here.
+const WANTED_ROOM_INTERVAL_MS: u64 = 5;
+
 /// Who gets a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Audience {
@@ -139,10 +142,17 @@
 /// Tells the owners of other zones how much room there is, while this process is an owner
 /// with jobs; they can lend tasks only while what they know is current.
 async fn tell_room(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut told_at_ms = 0;
     loop {
-        task::sleep(Duration::from_millis(ROOM_INTERVAL_MS)).await;
-        let load = shared.owner.load().as_ref().map(|owner| owner.load());
-        if load.is_some_and(|load| load.jobs > 0) {
+        task::sleep(Duration::from_millis(WANTED_ROOM_INTERVAL_MS)).await;
+        let load = shared.owner.load().as_ref().map(|owner| owner.load()).unwrap_or_default();
+        if load.jobs == 0 {
+            continue;
+        }
+        let now_ms = shared.now_ms();
+        let is_wanted = load.free_tasks > 0 && shared.ownership.lock().is_room_wanted(now_ms);
+        if is_wanted || now_ms >= told_at_ms + ROOM_INTERVAL_MS {
+            told_at_ms = now_ms;
             send(&shared, &socket, Audience::Owners).await;
         }
     }
@@ -161,6 +171,7 @@
         let ownership = shared.ownership.lock();
         let mut heartbeat = ownership.heartbeat(now_ms);
         heartbeat.free_tasks = load.free_tasks;
+        heartbeat.queued_tasks = load.queued_tasks;
         let is_near = |ip: IpAddr| {
             let mut peers = ownership.peers().iter();
             peers.find(|peer| peer.heartbeat.node.ip == ip).map(|peer| {
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -40,7 +40,7 @@
 
 /// The share of its objective for which a job waits for its first start, in percent: what
 /// starts later than this has little chance to be in time.
-const QUEUE_SHARE_PERCENT: u64 = 22;
+const QUEUE_SHARE_PERCENT: u64 = 35;
 
 /// How long a run may show no progress from one listing to a later one before it is stopped
 /// and started elsewhere. The longest tasks, of 8 s, move by a percent each 80 ms.
@@ -155,6 +155,8 @@
     pub free_cpu_milli: u64,
     /// The processor time that waiting tasks ask for.
     pub queued_cpu_milli: u64,
+    /// How many tasks wait.
+    pub queued_tasks: u64,
     /// How many tasks of the usual size could start now.
     pub free_tasks: u64,
     /// Jobs that have not ended.
@@ -269,8 +271,10 @@
             load.free_cpu_milli += target.free().cpu_milli;
             load.free_tasks += target.free().cpu_milli / self.usual_cpu_milli.max(1);
         }
-        let waiting = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
-        load.queued_cpu_milli = waiting.map(JobState::waiting_cpu_milli).sum();
+        for job in self.waiting.iter().filter_map(|waiting| self.job(waiting.job)) {
+            load.queued_tasks += job.waiting_tasks() as u64;
+            load.queued_cpu_milli += job.waiting_cpu_milli();
+        }
         load
     }
 
