--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -9,7 +9,7 @@
     Node {
         name: format!("{zone}-{number}"),
         ip: IpAddr::from([10, 0, 0, number]),
-        zone: zone.parse().unwrap(),
+        zone: zone.parse().expect("the case is set up right"),
         cpu_milli,
     }
 }
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -120,7 +120,7 @@
         born_unix_ms: 1,
         service: "work".into(),
         addr: ([127, 0, 0, 1], 9_000 + number as u16).into(),
-        zone: "a".parse().unwrap(),
+        zone: "a".parse().expect("the case is set up right"),
         capacity: Capacity { cpu_milli: cores * 1_000, memory_mb: 1_024, gpus: 0 },
         labels: vec![format!("rack-{number}")],
         draining: false,
@@ -141,7 +141,11 @@
 
 fn job(id: &str, steps: Vec<StepSpec>) -> Submission {
     Submission {
-        job: BatchJob { id: id.parse().unwrap(), spec: Arc::from("work"), steps },
+        job: BatchJob {
+            id: id.parse().expect("the case is set up right"),
+            spec: Arc::from("work"),
+            steps,
+        },
         queue: QueueRules {
             name: "queue".into(),
             service: "work".into(),
@@ -159,7 +163,7 @@
 }
 
 fn run(index: u16, number: u32) -> Run {
-    Run { task: format!("{JOB}.0.0.{index}").parse().unwrap(), number }
+    Run { task: format!("{JOB}.0.0.{index}").parse().expect("the case is set up right"), number }
 }
 
 macro_rules! cases {
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -3,6 +3,7 @@
 //! `GGB_SEED=7 cargo test -p ggb-placement --test faults NAME -- --nocapture` plays one seed
 //! and logs what the dispatchers decide, without a time of day.
 
+#[allow(dead_code, reason = "the other test of this crate uses the rest")]
 mod world;
 
 use ggb_standin::ModelMode;
--- a/crates/placement/tests/offer.rs
+++ b/crates/placement/tests/offer.rs
@@ -4,7 +4,11 @@
 
 fn offer() -> Offer {
     Offer::new(Submission {
-        job: BatchJob { id: "00000000000000aa".parse().unwrap(), spec: "".into(), steps: vec![] },
+        job: BatchJob {
+            id: "00000000000000aa".parse().expect("the case is set up right"),
+            spec: "".into(),
+            steps: vec![],
+        },
         queue: QueueRules {
             name: "queue".into(),
             service: "work".into(),
--- a/crates/placement/tests/world/links.rs
+++ b/crates/placement/tests/world/links.rs
@@ -103,7 +103,7 @@
         match fate {
             Fate::Delivered => self.after(NEAR_MS, move |world| {
                 let (outcome, clock_ms) = start(world);
-                world.to_owner(id, NEAR_MS, move |world| settled(world, outcome, Some(clock_ms)));
+                world.tell_owner(id, NEAR_MS, move |world| settled(world, outcome, Some(clock_ms)));
             }),
             Fate::Lost => {}
             // The target keeps the order until then, and loses it when it crashes.
@@ -120,7 +120,7 @@
             }),
         }
         if !matches!(fate, Fate::Delivered) {
-            self.to_owner(id, ORDER_TIMEOUT_MS, move |world| {
+            self.tell_owner(id, ORDER_TIMEOUT_MS, move |world| {
                 settled(world, StartOutcome::Unanswered, None);
             });
         }
@@ -141,7 +141,7 @@
 
     /// Asks a target for listings as long as the owner lives.
     pub(super) fn follow(&mut self, id: usize, at: usize, pause_ms: u64) {
-        self.to_owner(id, pause_ms, move |world| world.ask(id, at, HOLD_WAIT_MS, true));
+        self.tell_owner(id, pause_ms, move |world| world.ask(id, at, HOLD_WAIT_MS, true));
     }
 
     fn ask(&mut self, id: usize, at: usize, wait_ms: u64, again: bool) {
@@ -170,7 +170,7 @@
                         let until_ms = world.now_ms + wait_ms;
                         world.answer_hold(id, at, now_ms, until_ms, again);
                     } else {
-                        world.to_owner(id, NEAR_MS, move |world| {
+                        world.tell_owner(id, NEAR_MS, move |world| {
                             world.hold_fenced(id, at, token_offset, again);
                         });
                     }
@@ -185,7 +185,7 @@
                 hold(world);
             }),
         }
-        self.to_owner(id, wait_ms + ORDER_TIMEOUT_MS, move |world| {
+        self.tell_owner(id, wait_ms + ORDER_TIMEOUT_MS, move |world| {
             let now_ms = world.now_ms;
             world.owners[id].dispatcher.target_answers(&name, false, now_ms);
             world.act(id);
@@ -217,7 +217,7 @@
             return;
         }
         let listing = model.list(now_ms);
-        self.to_owner(id, NEAR_MS, move |world| {
+        self.tell_owner(id, NEAR_MS, move |world| {
             world.listed(id, at, &listing, asked_at_ms);
             if again {
                 world.follow(id, at, 0);
@@ -246,13 +246,13 @@
         let lender = (0..self.current.len()).find(|at| zone_name(*at) == *zone);
         let lender = lender.filter(|at| !self.is_cut(own, *at)).and_then(|at| self.current[at]);
         let Some(lender) = lender else {
-            self.to_owner(id, FAR_MS, move |world| {
+            self.tell_owner(id, FAR_MS, move |world| {
                 world.part_settled(id, part, LentOutcome::Refused);
             });
             return;
         };
         self.owners[id].lent.push((part, lender, None));
-        self.to_owner(lender, FAR_MS, move |world| {
+        self.tell_owner(lender, FAR_MS, move |world| {
             // The connection of a part that was given up is closed; it is not taken then.
             let outstanding = world.owners[id].lent.iter().any(|(lent, _, _)| *lent == part);
             if !outstanding || !world.owners[id].is_alive {
@@ -270,7 +270,7 @@
     /// Loses a part when its owner can't be reached: both sides notice within the time for
     /// which an answer is held back.
     fn watch_part(&mut self, id: usize, part: u64, lender: usize) {
-        self.to_owner(id, 400, move |world| {
+        self.tell_owner(id, 400, move |world| {
             if !world.owners[id].lent.iter().any(|(lent, _, _)| *lent == part) {
                 return;
             }
@@ -292,7 +292,7 @@
         if let Some(ticket) = ticket {
             self.withdraw(lender, ticket, delay_ms);
         }
-        self.to_owner(id, LENT_GONE_MS, move |world| {
+        self.tell_owner(id, LENT_GONE_MS, move |world| {
             world.part_settled(id, part, LentOutcome::Lost);
         });
     }
@@ -310,7 +310,7 @@
                 (LentOutcome::Lost, FAR_MS + LENT_GONE_MS)
             }
         };
-        self.to_owner(id, delay_ms, move |world| {
+        self.tell_owner(id, delay_ms, move |world| {
             world.owners[id].lent.retain(|(lent, _, _)| *lent != part);
             world.part_settled(id, part, outcome);
         });
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -228,7 +228,7 @@
     }
 
     fn tick(&mut self, id: usize) {
-        self.to_owner(id, TICK_MS, move |world| {
+        self.tell_owner(id, TICK_MS, move |world| {
             let now_ms = world.now_ms;
             world.owners[id].dispatcher.tick(now_ms);
             world.act(id);
@@ -237,14 +237,14 @@
     }
 
     /// Runs `step` for an owner that lives, after it has thawed.
-    fn to_owner(&mut self, id: usize, delay_ms: u64, step: impl FnOnce(&mut World) + 'static) {
+    fn tell_owner(&mut self, id: usize, delay_ms: u64, step: impl FnOnce(&mut World) + 'static) {
         self.after(delay_ms, move |world| {
             let owner = &world.owners[id];
             if !owner.is_alive {
                 return;
             }
             match owner.frozen_until_ms.checked_sub(world.now_ms) {
-                Some(left_ms @ 1..) => world.to_owner(id, left_ms, step),
+                Some(left_ms @ 1..) => world.tell_owner(id, left_ms, step),
                 _ => step(world),
             }
         });
@@ -266,7 +266,7 @@
             for (other, owner, _) in &rooms {
                 if zone != other && !self.is_cut(*zone, *other) {
                     let (zone, owner, room) = (*zone, *owner, *room);
-                    self.to_owner(owner, FAR_MS, move |world| {
+                    self.tell_owner(owner, FAR_MS, move |world| {
                         let now_ms = world.now_ms;
                         let dispatcher = &mut world.owners[owner].dispatcher;
                         dispatcher.room_heard(&zone_name(zone), room, now_ms);
@@ -340,7 +340,7 @@
                     self.offer(caller, self.owners[id].zone);
                 }
                 Waiter::Lender { owner, part } => {
-                    self.to_owner(owner, FAR_MS + LENT_GONE_MS, move |world| {
+                    self.tell_owner(owner, FAR_MS + LENT_GONE_MS, move |world| {
                         world.part_settled(owner, part, ggb_placement::LentOutcome::Lost);
                     });
                 }
@@ -354,7 +354,7 @@
     }
 
     fn withdraw(&mut self, id: usize, ticket: Ticket, delay_ms: u64) {
-        self.to_owner(id, delay_ms, move |world| {
+        self.tell_owner(id, delay_ms, move |world| {
             let now_ms = world.now_ms;
             world.owners[id].waiters.retain(|(waiting, _)| *waiting != ticket);
             world.owners[id].dispatcher.withdraw(ticket, now_ms);
