--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -37,6 +37,15 @@
 /// of; clocks may differ by seconds.
 const TOKEN_LEAP: u64 = 10_000 * TOKEN_STEP;
 
+/// How long a VM that could not read the list of VMs yet waits for it before it claims.
+const UNLISTED_WAIT_MS: u64 = 1_000;
+
+/// How many times the processor time of the owner a VM must have to replace it, in percent.
+const STRONGER_PERCENT: u64 = 150;
+
+/// How long a stronger VM must have been up before it replaces a weaker owner.
+const STRONGER_WAIT_MS: u64 = 1_500;
+
 /// The part of a token that tells claims of the same millisecond apart.
 const TOKEN_STEP: u64 = 1_000;
 
@@ -139,6 +148,7 @@
     peers: Vec<PeerState>,
     /// How many VMs besides this one are said to exist.
     known_peers: usize,
+    is_listed: bool,
 }
 
 impl Ownership {
@@ -153,6 +163,7 @@
             highest_token: 0,
             peers: Vec::new(),
             known_peers: 0,
+            is_listed: false,
         }
     }
 
@@ -179,6 +190,11 @@
         self.known_peers = count;
     }
 
+    /// Notes that the list of VMs was read, so that the known ones are all there are.
+    pub const fn set_listed(&mut self) {
+        self.is_listed = true;
+    }
+
     /// Notes that this VM is about to stop; it claims nothing from now on.
     pub const fn set_leaving(&mut self) {
         self.leaving = true;
@@ -290,17 +306,27 @@
             true => ISOLATED_WAIT_MS,
             false => 0,
         };
-        let boot_ms = self.started_at_ms + BOOT_WAIT_MS;
+        let listing_ms = if self.is_listed { 0 } else { UNLISTED_WAIT_MS };
+        let boot_ms = self.started_at_ms + BOOT_WAIT_MS + listing_ms;
         let free_since_ms = match self.owner_of(&self.own.zone) {
             None => boot_ms,
             Some(owner) if owner.heartbeat.leaving => owner.heard_at_ms,
-            Some(owner) if owner.is_alive(now_ms) => return false,
+            Some(owner) if owner.is_alive(now_ms) => return self.is_much_stronger(owner, now_ms),
             Some(owner) if self.is_vouched_for(owner, now_ms) => return false,
             Some(owner) => owner.heard_at_ms + OWNER_SILENT_MS,
         };
         now_ms >= free_since_ms.max(boot_ms) + head_start_ms + isolated_ms
     }
 
+    /// Returns whether this VM is the first candidate and has so much more processor time
+    /// than the owner that a hand-over pays.
+    fn is_much_stronger(&self, owner: &PeerState, now_ms: u64) -> bool {
+        let needed = owner.heartbeat.node.cpu_milli * STRONGER_PERCENT / 100;
+        self.own.cpu_milli >= needed
+            && now_ms >= self.started_at_ms + STRONGER_WAIT_MS
+            && self.candidate_rank(now_ms) == 0
+    }
+
     /// Returns whether a peer that is alive has heard the owner lately.
     fn is_vouched_for(&self, owner: &PeerState, now_ms: u64) -> bool {
         let name = &owner.heartbeat.node.name;
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -29,6 +29,12 @@
     }
 }
 
+#[test]
+fn a_vm_that_could_not_read_the_list_waits_for_it() {
+    let mut own = Ownership::new(node("a", 2, 250), 0);
+    assert_eq!(claims_at(&mut own, 0, 3_000), Some(1_130));
+}
+
 /// Lets time pass from `from_ms` in steps of 10 ms; returns when the VM claims.
 fn claims_at(ownership: &mut Ownership, from_ms: u64, until_ms: u64) -> Option<u64> {
     (from_ms..until_ms).step_by(10).find(|now_ms| {
@@ -43,6 +49,7 @@
             fn $name() {
                 let mut $own = Ownership::new(node("a", 2, 250), 0);
                 $own.set_known_peers(3);
+                $own.set_listed();
                 $body
             }
         )+
@@ -60,6 +67,16 @@
         assert_eq!(claims_at(&mut own, 20, 1_000), Some(250));
     }
 
+    a_much_stronger_vm_replaces_the_owner(own) {
+        let weak = heartbeat(&node("a", 3, 120), Some(7));
+        for now_ms in (0..1_500).step_by(100) {
+            own.heard(weak.clone(), now_ms);
+            assert_eq!(own.tick(now_ms, now_ms), None);
+        }
+        own.heard(weak, 1_500);
+        assert_eq!(claims_at(&mut own, 1_500, 1_600), Some(1_500));
+    }
+
     nobody_claims_beside_a_live_owner(own) {
         for now_ms in (0..3_000).step_by(100) {
             own.heard(heartbeat(&node("a", 1, 250), Some(7)), now_ms);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -234,6 +234,9 @@
         let result = if read.is_ok() { "answered" } else { "failed" };
         shared.metrics.store_calls.with_label_values(&["nodes", result]).inc();
         let done = entered && read.is_ok();
+        if read.is_ok() {
+            shared.ownership.lock().set_listed();
+        }
         for row in read.map(|changes| changes.rows).unwrap_or_default() {
             let value = row.value.unwrap_or_default();
             match serde_json::from_slice::<Node>(&value) {
