--- a/crates/greengagebeam/src/bin/ggb-node.rs
+++ b/crates/greengagebeam/src/bin/ggb-node.rs
@@ -5,7 +5,7 @@
 use bpaf::Bpaf;
 use ggb_adapter::{NodeSettings, SETTINGS_VARIABLE};
 use ggb_node::NodeProcess;
-use ggb_telemetry::init_stdout_logs;
+use ggb_telemetry::{init_stdout_logs, log_event};
 use greengagebeam::{Checked, ExitCode, SettingsError, SignalRequest, exit_with, signal_requests};
 
 /// Takes jobs of callers and dispatches them to the targets of its availability zone
@@ -47,7 +47,7 @@
         return;
     }
     let logs = init_stdout_logs(&args.log_filter);
-    let _logs = logs.unwrap_or_else(|error| exit_with(ExitCode::BadSettings, error));
+    let logs = logs.unwrap_or_else(|error| exit_with(ExitCode::BadSettings, error));
     let requests = signal_requests().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
     let operator_addr = SocketAddr::new(settings.ip, port);
     let node = NodeProcess::spawn(settings, args.settings, operator_addr).await;
@@ -56,4 +56,5 @@
         node.reload();
     }
     node.drain().await;
+    log_event!(info, LinesDropped, lines = logs.dropped_lines());
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -13,13 +13,13 @@
     pin_mut,
 };
 use ggb_adapter::{
-    CallerRequest, Queue, decode_job, decode_request, job_response, pending_response,
+    CallerRequest, Configuration, Queue, decode_job, decode_request, job_response, pending_response,
 };
 use ggb_http::{
     HttpError, HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body,
 };
 use ggb_placement::{EarlierRuns, JobAnswer, JobId, Offer, RefusalReason, Submission};
-use ggb_telemetry::log_event;
+use ggb_telemetry::{log_event, log_job_event};
 use http_types::{Method, Request, Response, StatusCode, headers::RETRY_AFTER};
 use serde_json::json;
 
@@ -67,10 +67,7 @@
         // No job is accepted without being answered, so none waits to begin.
         (Method::Get, "") => pending_response(0),
         (Method::Post, id) => match id.parse() {
-            Ok(id) => {
-                let body_bytes_max = configuration.body_bytes_max;
-                submit(shared, queue, id, &asked, body_bytes_max, &mut request).await
-            }
+            Ok(id) => submit(shared, &configuration, queue, id, &asked, &mut request).await,
             Err(error) => invalid(&error),
         },
         // A job that need not be kept is not known after its answer.
@@ -81,16 +78,16 @@
 
 async fn submit(
     shared: &Shared,
+    configuration: &Configuration,
     queue: &Queue,
     id: JobId,
     asked: &CallerRequest,
-    body_bytes_max: usize,
     request: &mut Request,
 ) -> Response {
     let received_at_ms = shared.now_ms();
     let peer = request.peer_addr().and_then(|addr| addr.parse().ok());
     let connection = PeerConnection::of(request);
-    let body = match read_body(request, body_bytes_max).await {
+    let body = match read_body(request, configuration.body_bytes_max).await {
         Ok(body) => body,
         Err(error) => return invalid(&error),
     };
@@ -118,33 +115,72 @@
         waited_ms: 0,
     };
     let deadline_ms = asked.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let answer =
-        timeout(Duration::from_millis(deadline_ms), run_job(shared, submission, received_at_ms));
+    let outcome =
+        wait_for_answer(shared, submission, connection, received_at_ms, deadline_ms).await;
+    let took_ms = shared.now_ms() - received_at_ms;
+    let label = outcome.label();
+    let is_completed = label == "completed";
+    log_job_event!(
+        id.is_sampled() || !is_completed, RequestAnswered, job = %id,
+        queue = %queue.rules.name, outcome = label, took_ms, deadline_ms,
+        configuration_version = configuration.version
+    );
+    shared.metrics.requests.with_label_values(&[label]).inc();
+    shared.metrics.response_ms.with_label_values(&[&queue.rules.name]).observe(took_ms as f64);
+    outcome.into_response()
+}
+
+/// How a request for a job ended.
+enum RequestOutcome {
+    Answered(JobAnswer),
+    /// The caller's deadline passed; tasks may have run.
+    DeadlinePassed,
+    /// The caller closed the connection.
+    CallerLeft,
+}
+
+impl RequestOutcome {
+    const fn label(&self) -> &'static str {
+        match self {
+            RequestOutcome::Answered(JobAnswer::Completed) => "completed",
+            RequestOutcome::Answered(JobAnswer::Failed) => "failed",
+            RequestOutcome::Answered(JobAnswer::Refused { .. }) => "refused",
+            RequestOutcome::Answered(JobAnswer::Moved { .. } | JobAnswer::Unknown) => "unknown",
+            RequestOutcome::DeadlinePassed => "deadline passed",
+            RequestOutcome::CallerLeft => "caller left",
+        }
+    }
+
+    fn into_response(self) -> Response {
+        let response = match &self {
+            RequestOutcome::Answered(answer) => job_response(answer),
+            RequestOutcome::DeadlinePassed | RequestOutcome::CallerLeft => None,
+        };
+        response.unwrap_or_else(|| Response::new(StatusCode::GatewayTimeout))
+    }
+}
+
+async fn wait_for_answer(
+    shared: &Shared,
+    submission: Submission,
+    connection: Option<PeerConnection>,
+    received_at_ms: u64,
+    deadline_ms: u64,
+) -> RequestOutcome {
+    let answered = run_job(shared, submission, received_at_ms);
+    let answered = timeout(Duration::from_millis(deadline_ms), answered);
     let closed = async {
         match &connection {
             Some(connection) => connection.closed().await,
             None => futures::future::pending().await,
         }
     };
-    pin_mut!(answer, closed);
-    let (outcome, response) = match select(answer, closed).await {
-        Either::Left((Ok(answer), _)) => {
-            let response = job_response(&answer);
-            (Some(answer), response)
-        }
-        Either::Left((Err(_), _)) => (None, None),
-        Either::Right(_) => {
-            log_event!(info, RequestAnswered, job = %id, outcome = "caller left");
-            (None, None)
-        }
-    };
-    let took_ms = shared.now_ms() - received_at_ms;
-    let outcome = outcome.map_or_else(|| "unanswered".to_owned(), |answer| format!("{answer:?}"));
-    log_event!(debug, RequestAnswered, job = %id, outcome, took_ms, deadline_ms = asked.deadline_ms);
-    let label = outcome.split(' ').next().unwrap_or_default();
-    shared.metrics.requests.with_label_values(&[label]).inc();
-    shared.metrics.response_ms.with_label_values(&[&queue.rules.name]).observe(took_ms as f64);
-    response.unwrap_or_else(|| Response::new(StatusCode::GatewayTimeout))
+    pin_mut!(answered, closed);
+    match select(answered, closed).await {
+        Either::Left((Ok(answer), _)) => RequestOutcome::Answered(answer),
+        Either::Left((Err(_), _)) => RequestOutcome::DeadlinePassed,
+        Either::Right(_) => RequestOutcome::CallerLeft,
+    }
 }
 
 /// An owner that a job can be sent to now.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -26,6 +26,9 @@
 /// one lost message does not let it lapse.
 const HOLD_WAIT_MS: u64 = 300;
 
+/// The same as a share of a lease, where targets grant short ones.
+const HOLD_LEASE_PERCENT: u64 = 30;
+
 /// How long an order and its answer may take within a zone, where they usually take 1 ms.
 const ORDER_TIMEOUT_MS: u64 = 100;
 
@@ -281,9 +284,11 @@
 
     /// Asks a target for a listing until it has left.
     async fn follow(self: Arc<Self>, target: Arc<str>) {
+        let lease_ms = self.shared.settings.lease_max_ms;
+        let hold_wait_ms = HOLD_WAIT_MS.min(lease_ms * HOLD_LEASE_PERCENT / 100);
         let mut failures = 0;
         while !self.stopped.load(Ordering::Relaxed) {
-            let wait_ms = if failures == 0 { HOLD_WAIT_MS } else { 0 };
+            let wait_ms = if failures == 0 { hold_wait_ms } else { 0 };
             match self.ask(&target, wait_ms).await {
                 None => return,
                 Some(true) => failures = 0,
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -3,7 +3,7 @@
 //! Answers the load of a crest: more work arrives than the targets can do, and a job that
 //! waits for nothing costs its caller the time in which it could have turned elsewhere.
 
-use ggb_telemetry::log_event;
+use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
     Action, Dispatcher, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
@@ -75,8 +75,7 @@
         let job = JobState::new(submission, ticket, expected_ms, objective_ms, now_ms);
         match self.admission(&job, now_ms) {
             Ok(wait_ms) => {
-                log_event!(
-                    debug, JobAdmitted, job = %id, queue = %job.submission().queue.name,
+                log_job_event!(id.is_sampled(), JobAdmitted, job = %id, queue = %job.submission().queue.name,
                     objective_ms, wait_ms, tasks = job.tasks.len(), resumed = job.has_started()
                 );
                 let at = self.jobs.partition_point(|other| other.id() < id);
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -6,7 +6,7 @@
 //! and queue when they don't.
 
 use ggb_model::Zone;
-use ggb_telemetry::log_event;
+use ggb_telemetry::log_job_event;
 
 use crate::{
     Action, Dispatcher, EarlierRuns, JobAnswer, JobId, LEASE_GONE_MS,
@@ -101,7 +101,7 @@
         let Some(job) = self.job_mut(id) else { return };
         let submission = job.lend(part, &startable, now_ms);
         let is_placed = job.waiting_tasks() == 0;
-        log_event!(debug, JobLent, job = %id, zone = %zone, part, tasks = startable.len());
+        log_job_event!(id.is_sampled(), JobLent, job = %id, zone = %zone, part, tasks = startable.len());
         if is_placed {
             self.unqueue(id);
         }
@@ -114,7 +114,7 @@
         self.note_time(now_ms);
         let Some(at) = self.lent_parts.iter().position(|lent| lent.part == part) else { return };
         let lent = self.lent_parts.swap_remove(at);
-        log_event!(debug, PartSettled, job = %lent.job, zone = %lent.zone, part, outcome = ?outcome);
+        log_job_event!(lent.job.is_sampled(), PartSettled, job = %lent.job, zone = %lent.zone, part, outcome = ?outcome);
         if outcome == LentOutcome::Refused {
             let refused = self.lenders.iter_mut().filter(|lender| lender.zone == lent.zone);
             refused.for_each(|lender| lender.free_tasks = 0);
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ggb_telemetry::log_event;
+use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
     Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase,
@@ -36,7 +36,7 @@
         let EndedRun { run, end, held } = ended;
         let name = Arc::clone(&self.targets[at].info().id);
         let ran_ms = held.map_or(0, |held| now_ms - held.ordered_at_ms);
-        log_event!(debug, RunEnded, run = %run, target = %name, end = ?end, ran_ms);
+        log_job_event!(run.task.job.is_sampled(), RunEnded, run = %run, target = %name, end = ?end, ran_ms);
         self.judge_target(at, run, end, now_ms);
         match end {
             RunEnd::Done => {
@@ -99,7 +99,7 @@
         if let Some(job) = self.job(id) {
             let took_ms = now_ms - job.sent_at_ms();
             let objective_ms = job.objective_ms();
-            log_event!(debug, JobCompleted, job = %id, took_ms, objective_ms);
+            log_job_event!(id.is_sampled() || took_ms > objective_ms, JobCompleted, job = %id, took_ms, objective_ms);
         }
         self.finish(id, JobAnswer::Completed, now_ms);
     }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use ggb_telemetry::log_event;
+use ggb_telemetry::log_job_event;
 
 use crate::{
     Action, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_GONE_MS, LENT_GONE_MS, Run, StepSpec,
@@ -123,8 +123,7 @@
         let target = &mut self.targets[target_at];
         let valid_until_clock_ms = target.reserve(run, demand, expected_ms, now_ms);
         let name = Arc::clone(&target.info().id);
-        log_event!(
-            debug, TaskStarted, run = %run, target = %name,
+        log_job_event!(run.task.job.is_sampled(), TaskStarted, run = %run, target = %name,
             waited_ms = now_ms - job.sent_at_ms(), free_cpu_milli = target.free().cpu_milli
         );
         job.assign(task_at, Arc::clone(&name), run);
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -18,6 +18,12 @@
 pub struct JobId([u8; JOB_ID_BYTES]);
 
 impl JobId {
+    /// Returns whether everything that is decided of this job is logged: one of 16 jobs, by
+    /// the last digit of the name, so that all processes choose the same ones.
+    pub const fn is_sampled(&self) -> bool {
+        self.0[JOB_ID_BYTES - 1] == b'0'
+    }
+
     /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         std::str::from_utf8(&self.0).unwrap_or_default()
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -152,6 +152,19 @@
     LinesDropped = 690,
 }
 
+/// Logs an [`Event`] of a job: at level `info` for jobs that are sampled, else at `debug`.
+///
+/// A sampled job is logged as a whole by every process that has to do with it.
+#[macro_export]
+macro_rules! log_job_event {
+    ($sampled:expr, $event:ident $(, $($rest:tt)+)?) => {
+        match $sampled {
+            true => $crate::log_event!(info, $event $(, $($rest)+)?),
+            false => $crate::log_event!(debug, $event $(, $($rest)+)?),
+        }
+    };
+}
+
 /// Logs an [`Event`] at a level, with fields and a message as [`tracing`] takes them.
 #[macro_export]
 macro_rules! log_event {
