--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -37,7 +37,8 @@
 /// of; clocks may differ by seconds.
 const TOKEN_LEAP: u64 = 10_000 * TOKEN_STEP;
 
-/// How long a VM that could not read the list of VMs yet waits for it before it claims.
+/// How long a VM that could not read the list of VMs yet, and has heard no other, waits for
+/// it before it claims.
 const UNLISTED_WAIT_MS: u64 = 1_000;
 
 /// How many times the processor time of the owner a VM must have to replace it, in percent.
@@ -306,7 +307,8 @@
             true => ISOLATED_WAIT_MS,
             false => 0,
         };
-        let listing_ms = if self.is_listed { 0 } else { UNLISTED_WAIT_MS };
+        let knows_others = self.is_listed || !self.peers.is_empty();
+        let listing_ms = if knows_others { 0 } else { UNLISTED_WAIT_MS };
         let boot_ms = self.started_at_ms + BOOT_WAIT_MS + listing_ms;
         let free_since_ms = match self.owner_of(&self.own.zone) {
             None => boot_ms,
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -371,7 +371,7 @@
         target.release(run);
         log_event!(warn, StartRefused, run = %run, target = id, outcome = ?outcome);
         self.look(at, now_ms);
-        self.task_freed(run, None, now_ms);
+        self.task_freed(run, id, false, now_ms);
         self.place(now_ms);
     }
 
@@ -440,11 +440,13 @@
             let silent = target.is_unreachable() || target.is_gone();
             if silent && !target.runs().is_empty() && target.is_lease_gone(now_ms) {
                 log_event!(warn, LeaseLapsed, target = %target.info().id, runs = target.runs().len());
-                lapsed.extend(target.lapse());
+                let name = Arc::clone(&target.info().id);
+                let ended = target.lapse().into_iter();
+                lapsed.extend(ended.map(|ended| (Arc::clone(&name), ended.run)));
             }
         }
-        for ended in lapsed {
-            self.task_freed(ended.run, None, now_ms);
+        for (target, run) in lapsed {
+            self.task_freed(run, &target, false, now_ms);
         }
     }
 
@@ -606,9 +608,9 @@
     }
 
     /// Returns a task whose run is over to the queue, unless its job is over.
-    fn task_freed(&mut self, run: Run, failed: Option<&str>, now_ms: u64) {
+    fn task_freed(&mut self, run: Run, on: &str, has_failed: bool, now_ms: u64) {
         let Some(job) = self.job_mut(run.task.job) else { return };
-        if !job.free(run, failed) {
+        if !job.free(run, on, has_failed) {
             return;
         }
         match job.phase() {
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -238,15 +238,16 @@
         self.has_started = true;
     }
 
-    /// Marks the task done. Returns whether it was not done before.
-    pub(super) fn set_done(&mut self, id: TaskId) -> bool {
-        let Some(at) = self.tasks.iter().position(|task| task.id == id) else { return false };
-        match std::mem::replace(&mut self.tasks[at].state, TaskState::Done) {
-            TaskState::Done => return false,
+    /// Marks the task done. Returns what it was before, unless it was done already.
+    pub(super) fn set_done(&mut self, id: TaskId) -> Option<TaskState> {
+        let at = self.tasks.iter().position(|task| task.id == id)?;
+        let before = std::mem::replace(&mut self.tasks[at].state, TaskState::Done);
+        match before {
+            TaskState::Done => return None,
             TaskState::Waiting => self.waiting_tasks -= 1,
             TaskState::Assigned { .. } | TaskState::Lent { .. } => {}
         }
-        true
+        Some(before)
     }
 
     /// Returns the step and index of each task that is done.
@@ -255,22 +256,27 @@
         done.map(|task| (task.id.step, task.id.index)).collect()
     }
 
-    /// Lets a task wait again after `run` is over; `failed` names the target if it failed.
-    /// Returns whether the run was the current one of its task.
-    pub(super) fn free(&mut self, run: Run, failed: Option<&str>) -> bool {
+    /// Lets a task wait again after `run` on `on` is over. Returns whether the run was the
+    /// current one of its task.
+    ///
+    /// Dispatchers that do not know of each other's runs may give them the same number, so
+    /// that the target counts too.
+    pub(super) fn free(&mut self, run: Run, on: &str, has_failed: bool) -> bool {
         let Some(task) = self.tasks.iter_mut().find(|task| task.id == run.task) else {
             return false;
         };
         match &task.state {
-            TaskState::Assigned { run: current, .. } if *current == run => {
+            TaskState::Assigned { target, run: current }
+                if *current == run && target.as_ref() == on =>
+            {
                 self.waiting_tasks += 1;
                 task.state = TaskState::Waiting;
             }
             _ => return false,
         }
-        if let Some(target) = failed {
+        if has_failed {
             task.failures += 1;
-            task.avoid = Some(target.into());
+            task.avoid = Some(on.into());
         }
         true
     }
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -46,12 +46,12 @@
                         self.run_times.observe(&queue, ran_ms);
                     }
                 }
-                self.task_done(run, now_ms);
+                self.task_done(run, &name, now_ms);
             }
-            RunEnd::Failed if held.is_some() => self.task_freed(run, Some(&name), now_ms),
+            RunEnd::Failed if held.is_some() => self.task_freed(run, &name, true, now_ms),
             RunEnd::Failed => self.stray_failure(run, now_ms),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Interrupted | RunEnd::Lost => {
-                self.task_freed(run, None, now_ms);
+                self.task_freed(run, &name, false, now_ms);
             }
         }
     }
@@ -79,12 +79,17 @@
         }
     }
 
-    fn task_done(&mut self, run: Run, now_ms: u64) {
+    fn task_done(&mut self, run: Run, on: &str, now_ms: u64) {
         let id = run.task.job;
         let Some(job) = self.job_mut(id) else { return };
-        if !job.set_done(run.task) {
-            return;
+        let Some(before) = job.set_done(run.task) else { return };
+        if let TaskState::Assigned { target, run: other } = before
+            && (target.as_ref(), other) != (on, run)
+            && let Some(at) = self.target_index(&target)
+        {
+            self.stop(at, other, now_ms);
         }
+        let Some(job) = self.job(id) else { return };
         match job.phase() {
             JobPhase::Open if job.is_completed() => {
                 self.complete(id, now_ms);
@@ -130,7 +135,8 @@
         for at in 0..self.targets.len() {
             for task in &tasks {
                 if let Some((run, end)) = self.targets[at].listed_end_of(*task) {
-                    self.apply_earlier_end(run, end, now_ms);
+                    let on = Arc::clone(&self.targets[at].info().id);
+                    self.apply_earlier_end(run, &on, end, now_ms);
                 }
                 if let Some(run) = self.targets[at].orphan_of(*task) {
                     self.adopt(at, run, now_ms);
@@ -139,9 +145,9 @@
         }
     }
 
-    fn apply_earlier_end(&mut self, run: Run, end: RunEnd, now_ms: u64) {
+    fn apply_earlier_end(&mut self, run: Run, on: &str, end: RunEnd, now_ms: u64) {
         match end {
-            RunEnd::Done => self.task_done(run, now_ms),
+            RunEnd::Done => self.task_done(run, on, now_ms),
             RunEnd::Failed => self.stray_failure(run, now_ms),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Interrupted | RunEnd::Lost => {
                 let task = self.job_mut(run.task.job).and_then(|job| job.task_mut(run.task));
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -415,6 +415,20 @@
         assert_eq!(bench.answers(), []);
     }
 
+    an_earlier_end_elsewhere_does_not_free_the_current_run(bench: [16]) {
+        let mut later = Bench { dispatcher: Dispatcher::new(RunTimes::default(), 0, 2_000), now_ms: 2_000, next_ticket: 0 };
+        later.dispatcher.upsert_target(target(0, 16));
+        later.dispatcher.upsert_target(target(1, 16));
+        later.list(0, &[], &[]);
+        let resumed = Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) };
+        later.submit(resumed);
+        later.pass(1_100);
+        assert_eq!(later.starts(), [("t-0".to_owned(), run(0, 1))]);
+        later.list(1, &[], &[(1, run(0, 1), RunEnd::Lapsed)]);
+        assert_eq!(later.starts(), []);
+        assert_eq!(bench.answers(), []);
+    }
+
     a_new_owner_stops_what_nobody_asks_for(bench: [16]) {
         bench.list(0, &[(run(0, 1), 30)], &[]);
         bench.pass(205);
