--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -145,7 +145,9 @@
             RequestOutcome::Answered(JobAnswer::Completed) => "completed",
             RequestOutcome::Answered(JobAnswer::Failed) => "failed",
             RequestOutcome::Answered(JobAnswer::Refused { .. }) => "refused",
-            RequestOutcome::Answered(JobAnswer::Moved { .. } | JobAnswer::Unknown) => "unknown",
+            RequestOutcome::Answered(
+                JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown,
+            ) => "unknown",
             RequestOutcome::DeadlinePassed => "deadline passed",
             RequestOutcome::CallerLeft => "caller left",
         }
@@ -221,6 +223,8 @@
                 Ok(JobReply::Answered(JobAnswer::Moved { done, earlier_runs })) => {
                     offer.moved(done, earlier_runs);
                 }
+                // The offer stands as it is, also towards the next owner.
+                Ok(JobReply::Answered(JobAnswer::NotTaken)) => {}
                 Ok(JobReply::Answered(answer)) => return answer,
                 Err(Sent::Maybe) => {
                     log_event!(info, RequestResumed, job = %offer.submission().job.id, owner = %ip);
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -57,7 +57,9 @@
             Ok(JobReply::Answered(JobAnswer::Refused { .. })) | Err(Sent::No) => {
                 return LentOutcome::Refused;
             }
-            Ok(JobReply::Answered(JobAnswer::Moved { .. } | JobAnswer::Unknown))
+            Ok(JobReply::Answered(
+                JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown,
+            ))
             | Err(Sent::Maybe) => {
                 log_event!(warn, RequestResumed, job = %submission.job.id, zone = %zone);
                 return LentOutcome::Lost;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -156,8 +156,10 @@
         let submission = submission.received_under(self.token);
         let is_lost_part =
             submission.part.is_some() && submission.earlier_runs != EarlierRuns::None;
-        if is_lost_part || self.stopped.load(Ordering::Relaxed) {
-            self.settle(ticket, moved());
+        let is_stopped = self.stopped.load(Ordering::Relaxed);
+        if is_lost_part || is_stopped {
+            let answer = if is_stopped { JobAnswer::NotTaken } else { JobAnswer::Unknown };
+            self.settle(ticket, answer);
             return waiter;
         }
         self.with(|dispatcher, now_ms| dispatcher.submit(submission, ticket, now_ms));
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -6,7 +6,7 @@
 use ggb_http::{
     HttpServer, PeerConnection, Sent, ServerLimits, json_response, read_body, text_response,
 };
-use ggb_placement::{EarlierRuns, JobAnswer, Submission};
+use ggb_placement::{JobAnswer, Submission};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -86,9 +86,7 @@
         return Response::new(StatusCode::RequestTimeout);
     }
     let Some(owner) = shared.owner.load_full() else {
-        let earlier_runs = EarlierRuns::None;
-        let moved = JobAnswer::Moved { done: Vec::new(), earlier_runs };
-        return json_response(StatusCode::Ok, &JobReply::Answered(moved));
+        return json_response(StatusCode::Ok, &JobReply::Answered(JobAnswer::NotTaken));
     };
     let mut waiter = owner.submit(submission);
     let answer = timeout(Duration::from_millis(JOB_WAIT_MS), waiter.answer());
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -296,6 +296,8 @@
         /// Where other tasks may still run.
         earlier_runs: EarlierRuns,
     },
+    /// This process is no dispatcher, or no longer, and has not taken the job.
+    NotTaken,
     /// Contact with the dispatcher that had the job is lost; its tasks may have run.
     Unknown,
 }
--- a/crates/placement/tests/offer.rs
+++ b/crates/placement/tests/offer.rs
@@ -66,7 +66,7 @@
         assert_eq!(offer.submission().done, [(0, 1)]);
     }
 
-    a_process_that_is_no_owner_changes_nothing(offer) {
+    a_lost_job_stays_lost(offer) {
         offer.lost();
         offer.moved(vec![], EarlierRuns::None);
         assert_eq!(received(&mut offer, 2), EarlierRuns::AnyZone);
--- a/crates/placement/tests/world/links.rs
+++ b/crates/placement/tests/world/links.rs
@@ -306,7 +306,7 @@
             JobAnswer::Completed => (LentOutcome::Completed, FAR_MS),
             JobAnswer::Failed => (LentOutcome::Failed, FAR_MS),
             JobAnswer::Refused { .. } => (LentOutcome::Refused, FAR_MS),
-            JobAnswer::Moved { .. } | JobAnswer::Unknown => {
+            JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown => {
                 (LentOutcome::Lost, FAR_MS + LENT_GONE_MS)
             }
         };
