--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -322,6 +322,19 @@
         assert_completed(fleet.submit(0, 6, 2, 50).await);
     }
 
+    a_node_that_boots_while_the_store_is_away_serves(62, fleet) {
+        fleet.store.set_mode(FleetStoreMode::Down);
+        fleet.nodes[0].process.kill();
+        fleet.nodes[0].process.restart().unwrap();
+        fleet.until_ready(0).await;
+        fleet.nodes[1].process.kill();
+        fleet.until("the new owner serves", || async {
+            let reply = fleet.submit(0, 5, 2, 50).await;
+            reply.is_some_and(|reply| state(&reply).as_deref() == Some("completed"))
+        }).await;
+        fleet.check_done(5, 2);
+    }
+
     settings_are_read_again(61, fleet) {
         let settings = fs::read_to_string(&fleet.nodes[2].settings).unwrap();
         fs::write(&fleet.nodes[2].settings, settings.replace("graceS = 6", "graceS = 5")).unwrap();
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,6 +1,6 @@
 //! The platform's list of targets.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use async_std::task;
 use error_stack::Report;
@@ -21,13 +21,19 @@
 /// How long the store is left alone after it did not answer.
 const RETRY_PAUSE_MS: u64 = 300;
 
+/// How long a peer may take to hand over its list.
+const PEER_TIMEOUT_MS: u64 = 500;
+
 /// Follows the list of targets until the process ends.
 pub(crate) async fn follow_targets(shared: Arc<Shared>) {
     let mut directory = Directory { shared, version: None, missing: Vec::new() };
     loop {
         let pause_ms = match directory.refresh().await {
             Ok(()) => POLL_MS,
-            Err(_) => RETRY_PAUSE_MS,
+            Err(_) => {
+                directory.ask_peers().await;
+                RETRY_PAUSE_MS
+            }
         };
         directory.drop_missing();
         task::sleep(Duration::from_millis(pause_ms)).await;
@@ -61,6 +67,31 @@
         Ok(())
     }
 
+    /// Takes the list of a peer, while the store can't be read and none is known: a process
+    /// that boots then may be the next owner of its zone.
+    async fn ask_peers(&self) {
+        let now_ms = self.shared.now_ms();
+        let peers: Vec<IpAddr> = {
+            let ownership = self.shared.ownership.lock();
+            let alive = ownership.peers().iter().filter(|peer| peer.is_alive(now_ms));
+            alive.map(|peer| peer.heartbeat.node.ip).collect()
+        };
+        for ip in peers {
+            if !self.shared.targets.lock().is_empty() {
+                return;
+            }
+            let addr = self.shared.peer_addr(ip);
+            let fetched = self.shared.http.fetch(addr, "/targets", PEER_TIMEOUT_MS).await;
+            let Ok(reply) = fetched else { continue };
+            match serde_json::from_slice::<Vec<TargetInfo>>(&reply.body) {
+                Ok(targets) => targets.into_iter().for_each(|info| self.listed(info)),
+                Err(error) => {
+                    log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
+                }
+            }
+        }
+    }
+
     fn apply(&mut self, changes: &Changes) {
         if self.version.is_none() {
             self.note_absent(&changes.rows);
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -1,39 +1,29 @@
 //! Queue, admission and placement for the targets of one zone.
 
+mod action;
 mod admission;
+mod due;
 mod job_state;
 mod lending;
 mod listings;
 mod place;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use ggb_telemetry::log_event;
 
-use ggb_model::Zone;
-
 use crate::{
-    JobAnswer, JobId, LEASE_GONE_MS, RefusalReason, Run, RunPhase, RunTimes, Submission, Target,
-    TargetInfo,
+    JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Target, TargetInfo,
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{Lender, LentPart},
     },
 };
 
-pub use crate::dispatcher::lending::{LENT_GONE_MS, LentOutcome};
-
-/// How long a job without a caller is kept before its tasks are stopped. A caller's entry
-/// process that lost the connection asks again within this time.
-const ABANDONED_GRACE_MS: u64 = 150;
-
-/// How long a run of an earlier dispatcher may go on before somebody asks for its job. A new
-/// owner says at once that it is there, and what waits for one that is silent gives up
-/// within 150 ms of that.
-const ORPHAN_GRACE_MS: u64 = 200;
-
-/// How long the answer of a finished job is kept for a repeated request.
-const ANSWER_KEPT_MS: u64 = 15_000;
+pub use crate::dispatcher::{
+    action::{Action, Load, StartOutcome, Ticket},
+    lending::{LENT_GONE_MS, LentOutcome},
+};
 
 /// The most answers that are kept.
 const ANSWERS_MAX: usize = 8_192;
@@ -42,131 +32,9 @@
 /// starts later than this has little chance to be in time.
 const QUEUE_SHARE_PERCENT: u64 = 35;
 
-/// How long a run may show no progress from one listing to a later one before it is stopped
-/// and started elsewhere. The longest tasks, of 8 s, move by a percent each 80 ms.
-const STALLED_MS: u64 = 300;
-
-/// How long after its expected end a run is asked about: a target answers at once when a
-/// run ends, and silence may mean that the answer was lost.
-const OVERDUE_MS: u64 = 40;
-
-/// A pause of the process after which it may have been taken for dead. Another VM claims the
-/// targets of an owner that is silent for 450 ms.
-const PAUSED_MS: u64 = 400;
-
-/// The pause before an order to stop a run is sent again.
-const STOP_RETRY_MS: u64 = 100;
-
 /// The pause between two extra listings that are asked of one target.
 const LOOK_PAUSE_MS: u64 = 100;
 
-/// The name that the process gives a caller who waits for an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// What a target made of an order to start a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartOutcome {
-    /// It runs.
-    Accepted,
-    /// There is no room for it.
-    NoRoom,
-    /// A run with this number, or a higher one, has been there before.
-    OldRun,
-    /// The order came too late.
-    TooLate,
-    /// Another dispatcher has taken over the target.
-    Fenced,
-    /// The target says that it is not healthy.
-    Unhealthy,
-    /// The target can't make sense of the order.
-    Invalid,
-    /// Another life of the target answered.
-    OtherLife,
-    /// The order certainly did not reach the target.
-    NotSent,
-    /// There was no answer; the target may have begun the run.
-    Unanswered,
-}
-
-/// What the process has to do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Order a target to start a run.
-    Start {
-        /// The target.
-        target: Arc<str>,
-        /// Its address.
-        addr: SocketAddr,
-        /// The run.
-        run: Run,
-        /// What to run.
-        spec: Arc<str>,
-        /// Until when on the target's clock the order is valid.
-        valid_until_clock_ms: u64,
-        /// What to add to the dispatcher's token.
-        token_offset: u64,
-    },
-    /// Order a target to stop a run.
-    Stop {
-        /// The target.
-        target: Arc<str>,
-        /// Its address.
-        addr: SocketAddr,
-        /// The run.
-        run: Run,
-        /// What to add to the dispatcher's token.
-        token_offset: u64,
-    },
-    /// Ask a target for a listing at once.
-    Look {
-        /// The target.
-        target: Arc<str>,
-    },
-    /// Offer part of a job to the dispatcher of another zone.
-    Lend {
-        /// The number of the part.
-        part: u64,
-        /// The zone.
-        zone: Zone,
-        /// The job, with the tasks that are not part of it marked as done.
-        submission: Submission,
-    },
-    /// Give up a part that was lent.
-    Recall {
-        /// The number of the part.
-        part: u64,
-    },
-    /// Answer a caller.
-    Answer {
-        /// The caller.
-        ticket: Ticket,
-        /// The answer.
-        answer: JobAnswer,
-    },
-}
-
-/// How busy the targets of a dispatcher are.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// The processor time of all sound targets, in thousandths of a core.
-    pub total_cpu_milli: u64,
-    /// The processor time that is free on them.
-    pub free_cpu_milli: u64,
-    /// The processor time that waiting tasks ask for.
-    pub queued_cpu_milli: u64,
-    /// How many tasks wait.
-    pub queued_tasks: u64,
-    /// How many tasks of the usual size could start now.
-    pub free_tasks: u64,
-    /// Jobs that have not ended.
-    pub jobs: usize,
-    /// Targets, and how many of them are sound.
-    pub targets: usize,
-    /// Targets that get new work.
-    pub sound_targets: usize,
-}
-
 #[derive(Debug)]
 struct KeptAnswer {
     job: JobId,
@@ -300,8 +168,9 @@
     pub fn forget_gone(&mut self) -> Vec<Arc<str>> {
         let is_over = |target: &Target| target.is_gone() && target.runs().is_empty();
         let over = self.targets.iter().filter(|target| is_over(target));
-        let names = over.map(|target| Arc::clone(&target.info().id)).collect();
+        let names: Vec<Arc<str>> = over.map(|target| Arc::clone(&target.info().id)).collect();
         self.targets.retain(|target| !is_over(target));
+        self.looked_at.retain(|(looked, _)| !names.contains(looked));
         names
     }
 
@@ -388,147 +257,11 @@
         }
     }
 
-    /// Does what has become due: lapsed leases, stalled and orphaned runs, abandoned jobs,
-    /// refusals of jobs that waited long enough.
-    pub fn tick(&mut self, now_ms: u64) {
-        self.note_time(now_ms);
-        self.lapse_leases(now_ms);
-        self.stop_overdue_runs(now_ms);
-        self.close_abandoned(now_ms);
-        self.refuse_overdue(now_ms);
-        self.defer_late(now_ms);
-        self.place(now_ms);
-        for target in &mut self.targets {
-            target.forget_old_ends(now_ms);
-        }
-        self.answers.retain(|kept| now_ms < kept.at_ms + ANSWER_KEPT_MS);
-    }
-
     /// Returns whether something waits for the next tick.
     pub fn is_busy(&self) -> bool {
         !self.jobs.is_empty()
     }
 
-    /// Notes that time has passed. After a pause of the process another one may own the
-    /// targets: each is then asked again before anything is started, since a target that
-    /// crashed meanwhile would obey any token.
-    fn note_time(&mut self, now_ms: u64) {
-        let paused_ms = now_ms.saturating_sub(self.told_at_ms);
-        self.told_at_ms = now_ms;
-        if paused_ms > PAUSED_MS {
-            log_event!(warn, ProcessPaused, paused_ms);
-            self.verifies_since_ms = Some(now_ms);
-            self.targets.iter_mut().for_each(|target| target.forget_listing(now_ms));
-            (0..self.targets.len()).for_each(|at| self.look(at, now_ms));
-        }
-    }
-
-    /// Returns whether every target has answered since the last pause of the process.
-    fn is_verified(&mut self, now_ms: u64) -> bool {
-        let Some(since_ms) = self.verifies_since_ms else { return true };
-        let is_verified = now_ms >= since_ms + LEASE_GONE_MS
-            || self.targets.iter().all(|target| target.is_fenced() || target.is_gone());
-        if is_verified {
-            self.verifies_since_ms = None;
-        }
-        is_verified
-    }
-
-    fn lapse_leases(&mut self, now_ms: u64) {
-        let mut lapsed = Vec::new();
-        for target in &mut self.targets {
-            let silent = target.is_unreachable() || target.is_gone();
-            if silent && !target.runs().is_empty() && target.is_lease_gone(now_ms) {
-                log_event!(warn, LeaseLapsed, target = %target.info().id, runs = target.runs().len());
-                let name = Arc::clone(&target.info().id);
-                let ended = target.lapse().into_iter();
-                lapsed.extend(ended.map(|ended| (Arc::clone(&name), ended.run)));
-            }
-        }
-        for (target, run) in lapsed {
-            self.task_freed(run, &target, false, now_ms);
-        }
-    }
-
-    /// Stops runs that nobody asks for or that make no progress, and asks for a listing
-    /// where an unanswered order can no longer be carried out.
-    fn stop_overdue_runs(&mut self, now_ms: u64) {
-        let mut stops = Vec::new();
-        let mut looks = Vec::new();
-        for (at, target) in self.targets.iter_mut().enumerate() {
-            let clock_ms = target.clock_at(now_ms).unwrap_or(0);
-            let mut stalled = false;
-            for held in target.runs() {
-                match held.phase {
-                    RunPhase::Orphaned if now_ms >= held.since_ms + ORPHAN_GRACE_MS => {
-                        stops.push((at, held.run, "nobody asked for it"));
-                    }
-                    RunPhase::Running if held.listed_at_ms >= held.progress_at_ms + STALLED_MS => {
-                        stalled = true;
-                        stops.push((at, held.run, "no progress"));
-                    }
-                    RunPhase::Running if now_ms >= held.overdue_at_ms(OVERDUE_MS) => looks.push(at),
-                    RunPhase::Unanswered if clock_ms > held.valid_until_clock_ms => looks.push(at),
-                    RunPhase::Stopping if now_ms >= held.since_ms + STOP_RETRY_MS => {
-                        stops.push((at, held.run, "still there"));
-                        looks.push(at);
-                    }
-                    _ => {}
-                }
-            }
-            if stalled {
-                target.observe_stall(now_ms);
-            }
-        }
-        for (at, run, reason) in stops {
-            log_event!(warn, RunStopped, run = %run, target = %self.targets[at].info().id, reason);
-            self.stop(at, run, now_ms);
-        }
-        looks.dedup();
-        for at in looks {
-            self.look(at, now_ms);
-        }
-    }
-
-    fn close_abandoned(&mut self, now_ms: u64) {
-        let is_abandoned = |job: &JobState| job.is_abandoned(now_ms, ABANDONED_GRACE_MS);
-        let abandoned: Vec<JobId> =
-            self.jobs.iter().filter(|job| is_abandoned(job)).map(JobState::id).collect();
-        for id in abandoned {
-            log_event!(info, JobAbandoned, job = %id);
-            self.close(id, JobPhase::Abandoned, now_ms);
-        }
-    }
-
-    fn refuse_overdue(&mut self, now_ms: u64) {
-        let is_overdue = |job: &JobState| {
-            !job.has_started()
-                && !job.has_lent()
-                && now_ms >= job.queue_until_ms(QUEUE_SHARE_PERCENT)
-        };
-        let waiting = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
-        let overdue: Vec<JobId> = waiting.filter(|job| is_overdue(job)).map(JobState::id).collect();
-        for id in overdue {
-            let retry_after_ms = self.retry_after_ms(id);
-            self.refuse(id, RefusalReason::StillQueued, retry_after_ms, now_ms);
-        }
-    }
-
-    /// Moves jobs that can't be in time any more behind those that can.
-    fn defer_late(&mut self, now_ms: u64) {
-        let on_time = self.waiting.iter().filter(|waiting| !waiting.is_late);
-        let jobs = on_time.filter_map(|waiting| self.job(waiting.job));
-        let late: Vec<JobId> =
-            jobs.filter(|job| now_ms > job.latest_start_ms()).map(JobState::id).collect();
-        for id in late {
-            self.unqueue(id);
-            if let Some(job) = self.job_mut(id) {
-                job.set_late();
-            }
-            self.enqueue(id);
-        }
-    }
-
     fn refuse(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
         if let Some(job) = self.job(id) {
             let waited_ms = now_ms - job.sent_at_ms();
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -17,6 +17,10 @@
 /// can run any more: it stops what nobody asks for, and what it can't stop lapses.
 pub const LENT_GONE_MS: u64 = LEASE_GONE_MS + 150;
 
+/// How long a zone that refused a part is offered no other one: what it has room for is
+/// smaller than the usual task.
+const REFUSED_PAUSE_MS: u64 = 20;
+
 /// How long what a zone said of its room holds; a few times the interval at which owners
 /// tell each other.
 const ROOM_VALID_MS: u64 = 200;
@@ -27,6 +31,7 @@
     zone: Zone,
     free_tasks: u64,
     heard_at_ms: u64,
+    refused_until_ms: u64,
 }
 
 /// Tasks of a job that another zone has.
@@ -55,10 +60,16 @@
     /// Takes in how many tasks of the usual size another zone has room for.
     pub fn room_heard(&mut self, zone: &Zone, free_tasks: u64, now_ms: u64) {
         self.note_time(now_ms);
-        let lender = Lender { zone: zone.clone(), free_tasks, heard_at_ms: now_ms };
         match self.lenders.binary_search_by(|lender| lender.zone.cmp(zone)) {
-            Ok(at) => self.lenders[at] = lender,
-            Err(at) => self.lenders.insert(at, lender),
+            Ok(at) => {
+                self.lenders[at].free_tasks = free_tasks;
+                self.lenders[at].heard_at_ms = now_ms;
+            }
+            Err(at) => {
+                let zone = zone.clone();
+                let lender = Lender { zone, free_tasks, heard_at_ms: now_ms, refused_until_ms: 0 };
+                self.lenders.insert(at, lender);
+            }
         }
         if free_tasks > 0 {
             self.place(now_ms);
@@ -117,7 +128,7 @@
         log_job_event!(lent.job.is_sampled(), PartSettled, job = %lent.job, zone = %lent.zone, part, outcome = ?outcome);
         if outcome == LentOutcome::Refused {
             let refused = self.lenders.iter_mut().filter(|lender| lender.zone == lent.zone);
-            refused.for_each(|lender| lender.free_tasks = 0);
+            refused.for_each(|lender| lender.refused_until_ms = now_ms + REFUSED_PAUSE_MS);
         }
         let Some(job) = self.job_mut(lent.job) else { return };
         job.settle_part(part, outcome == LentOutcome::Completed);
@@ -147,6 +158,6 @@
 
 impl Lender {
     const fn is_current(&self, now_ms: u64) -> bool {
-        now_ms < self.heard_at_ms + ROOM_VALID_MS
+        now_ms < self.heard_at_ms + ROOM_VALID_MS && now_ms >= self.refused_until_ms
     }
 }
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -496,6 +496,18 @@
         assert_eq!(bench.starts(), [("t-0".to_owned(), run(1, 1))]);
     }
 
+    a_zone_that_refused_is_not_asked_again_at_once(bench: [16]) {
+        let zone = "b".parse().unwrap();
+        bench.dispatcher.room_heard(&zone, 5, bench.now_ms);
+        bench.submit(job(JOB, vec![step(2)]));
+        bench.actions();
+        bench.dispatcher.lent_settled(0, LentOutcome::Refused, bench.now_ms);
+        bench.dispatcher.room_heard(&zone, 5, bench.now_ms + 5);
+        assert!(!bench.actions().iter().any(|action| matches!(action, Action::Lend { .. })));
+        bench.dispatcher.room_heard(&zone, 5, bench.now_ms + 25);
+        assert!(bench.actions().iter().any(|action| matches!(action, Action::Lend { .. })));
+    }
+
     a_later_part_of_a_job_does_not_get_the_answer_of_an_earlier_one(bench: [16]) {
         let part = |number, done| {
             Submission { part: Some(number), done: vec![(0, done)], ..job(JOB, vec![step(2)]) }
