--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -160,7 +160,11 @@
     addr: SocketAddr,
 ) -> Result<HttpServer, Report<ggb_http::HttpError>> {
     let handler = move |_: Request| {
-        let status = match phase(&shared).is_ready() {
+        let phase = phase(&shared);
+        if shared.set_ready(phase.is_ready()) {
+            log_event!(info, ReadinessChanged, phase = ?phase);
+        }
+        let status = match phase.is_ready() {
             true => StatusCode::Ok,
             false => StatusCode::ServiceUnavailable,
         };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -40,6 +40,7 @@
     /// When the process was asked to stop; 0 if it was not.
     draining_since_ms: AtomicU64,
     store_reachable: AtomicBool,
+    ready: AtomicBool,
     pub(crate) metrics: NodeMetrics,
 }
 
@@ -63,6 +64,7 @@
             run_times: Mutex::new(RunTimes::default()),
             draining_since_ms: AtomicU64::new(0),
             store_reachable: AtomicBool::new(true),
+            ready: AtomicBool::new(false),
             metrics: NodeMetrics::new(),
         }
     }
@@ -115,6 +117,11 @@
         self.store_reachable.swap(reachable, Ordering::Relaxed) != reachable
     }
 
+    /// Notes whether the process is ready. Returns whether that is new.
+    pub(crate) fn set_ready(&self, ready: bool) -> bool {
+        self.ready.swap(ready, Ordering::Relaxed) != ready
+    }
+
     /// Adds the address of another process.
     pub(crate) fn add_peer(&self, ip: IpAddr) {
         if ip == self.settings.ip {
