--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,7 +6,7 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Action, Dispatcher, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
+    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
     dispatcher::{
         QUEUE_SHARE_PERCENT,
         job_state::{JobPhase, JobState},
@@ -38,7 +38,7 @@
     /// Takes in a job whose caller waits under `ticket`.
     ///
     /// A copy of a job that is known joins it, and gets the answer that the first one got.
-    pub fn submit(&mut self, submission: Submission, ticket: Ticket, now_ms: u64) {
+    pub fn submit(&mut self, mut submission: Submission, ticket: Ticket, now_ms: u64) {
         self.note_time(now_ms);
         let id = submission.job.id;
         self.observe_demand(&submission);
@@ -65,6 +65,15 @@
             self.place(now_ms);
             return;
         }
+        // An owner had the job, and it is not known any more: tasks of it ran and were stopped
+        // when its entry process fell silent.
+        if submission.held_under.is_some() {
+            if submission.part.is_some() {
+                self.actions.push(Action::Answer { ticket, answer: JobAnswer::Unknown });
+                return;
+            }
+            submission.earlier_runs = submission.earlier_runs.max(EarlierRuns::OwnZone);
+        }
         let times = &self.run_times;
         let steps = submission.job.steps.iter();
         let expected_ms: Vec<u64> =
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -290,6 +290,25 @@
         assert_eq!(bench.starts().len(), 1);
     }
 
+    a_job_that_was_given_up_and_comes_back_is_not_refused(bench: [16]) {
+        let ticket = bench.submit(job(JOB, vec![step(1)]));
+        bench.settle(0, run(0, 1), StartOutcome::Accepted);
+        bench.dispatcher.withdraw(ticket, bench.now_ms);
+        bench.pass(160);
+        bench.list(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        bench.submit(job("00000000000000bb", vec![step(1)]));
+        bench.actions();
+        // Its entry process stood still, and asks on with the token of the claim.
+        bench.submit(Submission { held_under: Some(7), ..job(JOB, vec![step(1)]) });
+        bench.pass(1_000);
+        assert_eq!(bench.answers(), []);
+    }
+
+    a_part_that_was_given_up_and_comes_back_is_lost(bench: [16]) {
+        bench.submit(Submission { held_under: Some(7), part: Some(3), ..job(JOB, vec![step(1)]) });
+        assert_eq!(bench.answers(), [JobAnswer::Unknown]);
+    }
+
     a_stop_that_has_no_effect_is_sent_again(bench: [16]) {
         let ticket = bench.submit(job(JOB, vec![step(1)]));
         bench.settle(0, run(0, 1), StartOutcome::Accepted);
