--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -18,18 +18,25 @@
 }
 
 impl Bench {
+    /// Returns a dispatcher whose targets have all given their first listing.
     fn new(cores: &[u64]) -> Self {
-        let mut dispatcher = Dispatcher::new(RunTimes::default(), 0, 1_000);
-        for (number, cores) in cores.iter().enumerate() {
-            dispatcher.upsert_target(target(number, *cores));
-        }
-        let mut bench = Bench { dispatcher, now_ms: 1_000, next_ticket: 0 };
+        let mut bench = Bench::taking_over(cores);
         for number in 0..cores.len() {
             bench.list(number, &[], &[]);
         }
         bench
     }
 
+    /// Returns a dispatcher that has just taken over and has heard of no target yet.
+    fn taking_over(cores: &[u64]) -> Self {
+        let now_ms = 1_000;
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), 0, now_ms);
+        for (number, cores) in cores.iter().enumerate() {
+            dispatcher.upsert_target(target(number, *cores));
+        }
+        Bench { dispatcher, now_ms, next_ticket: 0 }
+    }
+
     fn submit(&mut self, submission: Submission) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -422,8 +429,7 @@
     }
 
     a_new_owner_goes_on_with_what_runs(bench: [16]) {
-        let mut later = Bench { dispatcher: Dispatcher::new(RunTimes::default(), 0, 2_000), now_ms: 2_000, next_ticket: 0 };
-        later.dispatcher.upsert_target(target(0, 16));
+        let mut later = Bench::taking_over(&[16]);
         let resumed = Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) };
         later.submit(resumed);
         assert_eq!(later.starts(), []);
@@ -435,9 +441,7 @@
     }
 
     an_earlier_end_elsewhere_does_not_free_the_current_run(bench: [16]) {
-        let mut later = Bench { dispatcher: Dispatcher::new(RunTimes::default(), 0, 2_000), now_ms: 2_000, next_ticket: 0 };
-        later.dispatcher.upsert_target(target(0, 16));
-        later.dispatcher.upsert_target(target(1, 16));
+        let mut later = Bench::taking_over(&[16, 16]);
         later.list(0, &[], &[]);
         let resumed = Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) };
         later.submit(resumed);
@@ -455,9 +459,7 @@
     }
 
     a_new_owner_starts_nothing_twice_before_it_knows_all_targets(bench: [16]) {
-        let mut later = Bench { dispatcher: Dispatcher::new(RunTimes::default(), 0, 2_000), now_ms: 2_000, next_ticket: 0 };
-        later.dispatcher.upsert_target(target(0, 16));
-        later.dispatcher.upsert_target(target(1, 16));
+        let mut later = Bench::taking_over(&[16, 16]);
         later.list(0, &[], &[]);
         let resumed = Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) };
         later.submit(resumed);
