--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -529,3 +529,33 @@
     pub work_ms: u64,
     pub fails: bool,
 }
+
+/// Wide, short and urgent.
+pub const SLOT_CHECK: JobShape = JobShape {
+    queue: "slot-check",
+    priority: 0,
+    count: 8,
+    cpu_milli: 14_000,
+    work_ms: 51,
+    fails: false,
+};
+
+/// Narrow and of middle length.
+pub const CONFIRM: JobShape = JobShape {
+    queue: "confirm",
+    priority: 1,
+    count: 2,
+    cpu_milli: 14_000,
+    work_ms: 170,
+    fails: false,
+};
+
+/// Long and least urgent.
+pub const QUOTE: JobShape = JobShape {
+    queue: "quote",
+    priority: 2,
+    count: 4,
+    cpu_milli: 14_000,
+    work_ms: 760,
+    fails: false,
+};
