--- a/crates/greengagebeam/src/bin/ggb-node.rs
+++ b/crates/greengagebeam/src/bin/ggb-node.rs
@@ -1,10 +1,10 @@
 //! Takes jobs of callers on the users' platform, and dispatches for its zone.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::IpAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 use ggb_adapter::{NodeSettings, SETTINGS_VARIABLE};
-use ggb_node::NodeProcess;
+use ggb_node::{NodeListeners, NodeProcess};
 use ggb_telemetry::{init_stdout_logs, log_event};
 use greengagebeam::{Checked, ExitCode, SettingsError, SignalRequest, exit_with, signal_requests};
 
@@ -18,6 +18,10 @@
     /// The port on which metrics are served
     #[bpaf(long, env("GGB_METRICS_PORT"), argument("PORT"), fallback("9464".to_owned()), display_fallback)]
     metrics_port: String,
+    /// The address to listen on for peers and operators, and to connect from, where it is
+    /// not the one that the settings file tells peers
+    #[bpaf(long, env("GGB_BIND_IP"), argument("IP"))]
+    bind_ip: Option<IpAddr>,
     /// Which events are logged, such as `info` or `warn,ggb_node=debug`
     #[bpaf(long, env("GGB_LOG_FILTER"), argument("FILTER"), fallback("info".to_owned()), display_fallback)]
     log_filter: String,
@@ -49,8 +53,8 @@
     let logs = init_stdout_logs(&args.log_filter);
     let logs = logs.unwrap_or_else(|error| exit_with(ExitCode::BadSettings, error));
     let requests = signal_requests().unwrap_or_else(|error| exit_with(ExitCode::Failed, error));
-    let operator_addr = SocketAddr::new(settings.ip, port);
-    let node = NodeProcess::spawn(settings, args.settings, operator_addr).await;
+    let listeners = NodeListeners { bind_ip: args.bind_ip, operator_port: port };
+    let node = NodeProcess::spawn(settings, args.settings, listeners).await;
     let node = node.unwrap_or_else(|error| exit_with(ExitCode::Failed, format!("{error:?}")));
     while let Ok(SignalRequest::Reload) = requests.recv().await {
         node.reload();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,5 +27,5 @@
 
 pub use crate::{
     metrics::NodeMetrics,
-    process::{NodeError, NodeProcess},
+    process::{NodeError, NodeListeners, NodeProcess},
 };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,6 +1,11 @@
 //! Heartbeats between the processes, and the ownership that follows from them.
 
-use std::{io, net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::{net::UdpSocket, task};
 use ggb_control::unix_ms;
@@ -41,13 +46,13 @@
 const NODES_POLL_MS: u64 = 15_000;
 const NODES_RETRY_MS: u64 = 250;
 
-/// Sends and receives heartbeats until the process ends.
+/// Sends and receives heartbeats at `addr` until the process ends.
 ///
 /// # Errors
 ///
 /// Fails if the port can't be bound.
-pub(crate) async fn spawn_heartbeats(shared: Arc<Shared>) -> io::Result<()> {
-    let socket = UdpSocket::bind(shared.peer_addr(shared.settings.ip)).await?;
+pub(crate) async fn spawn_heartbeats(shared: Arc<Shared>, addr: SocketAddr) -> io::Result<()> {
+    let socket = UdpSocket::bind(addr).await?;
     let socket = Arc::new(socket);
     task::spawn(receive(Arc::clone(&shared), Arc::clone(&socket)));
     task::spawn(tell_room(Arc::clone(&shared), Arc::clone(&socket)));
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,6 +1,12 @@
 //! The life of the process.
 
-use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::task;
 use error_stack::{Report, ResultExt as _};
@@ -58,6 +64,16 @@
 
 impl std::error::Error for NodeError {}
 
+/// Where a process listens, besides the addresses of its settings file.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeListeners {
+    /// The address for peers and operators, and of outgoing connections; the one that
+    /// peers are told if there is none.
+    pub bind_ip: Option<IpAddr>,
+    /// The port on which metrics are served.
+    pub operator_port: u16,
+}
+
 /// A running process.
 pub struct NodeProcess {
     shared: Arc<Shared>,
@@ -68,7 +84,7 @@
 }
 
 impl NodeProcess {
-    /// Starts a process with the settings of the file at `path`; metrics are served at `operator_addr`.
+    /// Starts a process with the settings of the file at `path`.
     ///
     /// # Errors
     ///
@@ -76,14 +92,14 @@
     pub async fn spawn(
         settings: NodeSettings,
         path: PathBuf,
-        operator_addr: SocketAddr,
+        listeners: NodeListeners,
     ) -> Result<Self, Report<NodeError>> {
         let clock = Clock::start();
         let http = Arc::new(HttpClient::new(ClientLimits {
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             body_bytes: MESSAGE_BYTES,
             idle_per_peer: IDLE_CONNECTIONS,
-            source_ip: None,
+            source_ip: listeners.bind_ip,
         }));
         let own = Node {
             name: settings.name.clone(),
@@ -95,16 +111,18 @@
         let shared = Arc::new(Shared::new(settings, clock, http, ownership));
         shared.add_seeds();
         let failed = |part, addr| move || NodeError { part, addr };
-        let peer_addr = shared.peer_addr(shared.settings.ip);
+        let bind_ip = listeners.bind_ip.unwrap_or(shared.settings.ip);
+        let peer_addr = shared.peer_addr(bind_ip);
         let peer_api = bind_peer_api(Arc::clone(&shared), peer_addr).await;
         let peer_api = peer_api.change_context_lazy(failed("messages of peers", peer_addr))?;
-        let heartbeats = spawn_heartbeats(Arc::clone(&shared)).await;
+        let heartbeats = spawn_heartbeats(Arc::clone(&shared), peer_addr).await;
         heartbeats.change_context_lazy(failed("heartbeats", peer_addr))?;
         task::spawn(follow_nodes(Arc::clone(&shared)));
         task::spawn(follow_configuration(Arc::clone(&shared)));
         task::spawn(follow_targets(Arc::clone(&shared)));
         let settings_file = Arc::new(SettingsFile::open(path, Arc::clone(&shared)));
         task::spawn(Arc::clone(&settings_file).follow());
+        let operator_addr = SocketAddr::new(bind_ip, listeners.operator_port);
         let operator = OperatorServer::bind(operator_addr, Arc::new(Status(Arc::clone(&shared))));
         let operator = operator.await.change_context_lazy(failed("operators", operator_addr))?;
         let ready_addr = shared.settings.ready_addr;
--- a/crates/standin/src/fleet_target.rs
+++ b/crates/standin/src/fleet_target.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::{ModelTarget, ModelWork, RunRecord, target_log::unix_ms};
+use crate::{ModelMode, ModelTarget, ModelWork, RunRecord, target_log::unix_ms};
 
 const BODY_BYTES: usize = 1 << 20;
 
@@ -82,11 +82,16 @@
         &self.id
     }
 
-    /// Returns the entry in the list of targets.
-    pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+    /// Returns the address that the target listens on.
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Returns the entry in the list of targets, for callers that reach it at `addr`.
+    pub fn entry(&self, addr: SocketAddr, service: &str, zone: &str, state: &str) -> Value {
         json!({
             "service": service,
-            "address": self.server.local_addr(),
+            "address": addr,
             "zone": zone,
             "version": "v1",
             "slots": 8,
@@ -103,6 +108,16 @@
         })
     }
 
+    /// Sets how it treats what it is told to start.
+    pub fn set_mode(&self, mode: ModelMode) {
+        self.model.lock().mode = mode;
+    }
+
+    /// Ends everything that runs and begins another life.
+    pub fn crash(&self) {
+        self.model.lock().crash(unix_ms());
+    }
+
     /// Returns what ran.
     pub fn records(&self) -> Vec<RunRecord> {
         let mut model = self.model.lock();
