Jobs go to the zones that can hold them; steps count by their longest chain; more metrics

Cause, found by reading: a zone whose targets are all gone or draining refused every job although other zones had room, a job whose label or size only another zone has was refused for good or lent to a zone that can't hold it, and a job of several steps was given the time of its longest step alone. The dispatcher now knows the targets of other zones, lends a task only where one can hold it, and refuses at once what none can. Five cases failed before (the one of steps by reading), and one on real processes plays a zone that drains.

Metrics: time over the ideal by priority, wait of tasks by size, refusals by reason, queued jobs by priority, the age of what the store confirmed by table.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -164,6 +164,22 @@
         check_done(&fleet, 5, 2);
     }
 
+    a_zone_without_targets_uses_the_other_one(63, fleet) {
+        for target in 0..2 {
+            fleet.list_target(target, "draining");
+        }
+        fleet.until("nothing is given to the zone's own targets", || async {
+            let before = fleet.targets[0].standin.records().len()
+                + fleet.targets[1].standin.records().len();
+            let reply = fleet.submit(0, rand::random(), 1, 10).await;
+            let after = fleet.targets[0].standin.records().len()
+                + fleet.targets[1].standin.records().len();
+            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == after
+        }).await;
+        assert_completed(fleet.submit(0, 5, 2, 50).await);
+        check_done(&fleet, 5, 2);
+    }
+
     settings_are_read_again(61, fleet) {
         let settings = fs::read_to_string(&fleet.nodes[2].settings).unwrap();
         fs::write(&fleet.nodes[2].settings, settings.replace("graceS = 6", "graceS = 5")).unwrap();
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -101,6 +101,8 @@
     if shared.draining_for_ms().is_some_and(|since_ms| since_ms > DRAIN_ACCEPT_MS) {
         return refusal("stopping", 1_000);
     }
+    let declared_ms: Vec<u64> = job.steps.iter().map(|step| step.estimate_ms).collect();
+    let ideal_ms = job.longest_chain_ms(&declared_ms);
     let submission = Submission {
         job,
         queue: queue.rules.clone(),
@@ -123,6 +125,14 @@
     );
     shared.metrics.requests.with_label_values(&[label]).inc();
     shared.metrics.response_ms.with_label_values(&[&queue.rules.name]).observe(took_ms as f64);
+    if is_completed {
+        let priority = queue.rules.priority.to_string();
+        let over_ms = took_ms.saturating_sub(ideal_ms);
+        shared.metrics.over_ideal_ms.with_label_values(&[&priority]).observe(over_ms as f64);
+    }
+    if let RequestOutcome::Answered(JobAnswer::Refused { reason, .. }) = &outcome {
+        shared.metrics.refusals.with_label_values(&[&format!("{reason:?}")]).inc();
+    }
     outcome.into_response()
 }
 
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -29,6 +29,7 @@
         note_reachability(&shared, &read);
         match read {
             Ok(Some(changes)) => {
+                shared.configuration_confirmed.confirm(shared.now_ms());
                 apply_rows(&shared, &changes);
                 version = Some(changes.version);
             }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -55,7 +55,10 @@
         self.shared.metrics.store_calls.with_label_values(&["targets", result]).inc();
         note_reachability(&self.shared, &read);
         match read? {
-            Some(changes) => self.apply(&changes),
+            Some(changes) => {
+                self.shared.targets_confirmed.confirm(self.shared.now_ms());
+                self.apply(&changes);
+            }
             None => {
                 log_event!(warn, HistoryLost, table = TARGETS_TABLE);
                 self.version = None;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,9 @@
 
 const VALID: &str = "names and labels of metrics are constants";
 
+/// Tasks that are expected to run for less than this count as short.
+const SHORT_TASK_MS: u64 = 100;
+
 const LATENCY_BUCKETS_MS: [f64; 12] =
     [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 10_000.0];
 
@@ -19,6 +22,15 @@
     pub requests: IntCounterVec,
     /// Time from the arrival of a request to its answer, by queue.
     pub response_ms: HistogramVec,
+    /// What requests took beyond the declared run times of their longest chain of steps, by
+    /// priority.
+    pub over_ideal_ms: HistogramVec,
+    /// Requests that were refused, by reason.
+    pub refusals: IntCounterVec,
+    /// Time from the arrival of a job to the start of each of its tasks, by size.
+    pub task_wait_ms: HistogramVec,
+    /// Jobs that wait for room, by priority.
+    pub queued_jobs: IntGaugeVec,
     /// Orders to targets by kind and outcome.
     pub orders: IntCounterVec,
     /// Calls to the platform's store by call and result.
@@ -33,8 +45,8 @@
     pub is_owner: IntGauge,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
-    /// Milliseconds since the platform's list of targets was last confirmed.
-    pub target_list_age_ms: IntGauge,
+    /// Milliseconds since the store last confirmed what this process knows, by table.
+    pub age_ms: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -46,8 +58,8 @@
             registry.register(Box::new(metric.clone())).expect(VALID);
             metric
         };
-        let gauges = |name: &str, help: &str| {
-            let metric = IntGaugeVec::new(Opts::new(name, help), &["state"]).expect(VALID);
+        let gauges = |name: &str, help: &str, label: &str| {
+            let metric = IntGaugeVec::new(Opts::new(name, help), &[label]).expect(VALID);
             registry.register(Box::new(metric.clone())).expect(VALID);
             metric
         };
@@ -56,30 +68,48 @@
             registry.register(Box::new(metric.clone())).expect(VALID);
             metric
         };
-        let options = HistogramOpts::new("ggb_response_ms", "Time to the answer of a request")
-            .buckets(LATENCY_BUCKETS_MS.to_vec());
-        let response_ms = HistogramVec::new(options, &["queue"]).expect(VALID);
-        registry.register(Box::new(response_ms.clone())).expect(VALID);
+        let times = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_MS.to_vec());
+            let metric = HistogramVec::new(options, &[label]).expect(VALID);
+            registry.register(Box::new(metric.clone())).expect(VALID);
+            metric
+        };
         NodeMetrics {
             requests: counters("ggb_requests_total", "Requests of callers", &["answer"]),
-            response_ms,
+            response_ms: times("ggb_response_ms", "Time to the answer of a request", "queue"),
+            over_ideal_ms: times("ggb_over_ideal_ms", "Time beyond the ideal", "priority"),
+            refusals: counters("ggb_refusals_total", "Refused requests", &["reason"]),
+            task_wait_ms: times("ggb_task_wait_ms", "Wait of tasks for their start", "size"),
+            queued_jobs: gauges("ggb_queued_jobs", "Jobs that wait for room", "priority"),
             orders: counters("ggb_orders_total", "Orders to targets", &["kind", "outcome"]),
             store_calls: counters(
                 "ggb_store_calls_total",
                 "Calls to the store",
                 &["call", "result"],
             ),
-            cpu_milli: gauges("ggb_target_cpu_milli", "Processor time of the zone's targets"),
-            targets: gauges("ggb_owned_targets", "Targets of the zone"),
+            cpu_milli: gauges(
+                "ggb_target_cpu_milli",
+                "Processor time of the zone's targets",
+                "state",
+            ),
+            targets: gauges("ggb_owned_targets", "Targets of the zone", "state"),
             jobs: gauge("ggb_jobs", "Jobs that the dispatcher has not finished"),
             is_owner: gauge("ggb_is_owner", "Whether this process dispatches for its zone"),
             configuration_version: gauge("ggb_configuration_version", "Version in force"),
-            target_list_age_ms: gauge("ggb_target_list_age_ms", "Age of the list of targets"),
+            age_ms: gauges("ggb_age_ms", "Time since the store confirmed a table", "table"),
             registry,
         }
     }
 }
 
+impl NodeMetrics {
+    /// Notes that a task starts.
+    pub fn observe_start(&self, waited_ms: u64, expected_ms: u64) {
+        let size = if expected_ms < SHORT_TASK_MS { "short" } else { "long" };
+        self.task_wait_ms.with_label_values(&[size]).observe(waited_ms as f64);
+    }
+}
+
 impl Default for NodeMetrics {
     fn default() -> Self {
         NodeMetrics::new()
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -142,6 +142,11 @@
         self.core.lock().dispatcher.load()
     }
 
+    /// Returns how many jobs wait for room, by priority.
+    pub(crate) fn queued_jobs(&self) -> Vec<(u8, usize)> {
+        self.core.lock().dispatcher.queued_jobs()
+    }
+
     /// Queues a job; the returned place in the queue gives its answer.
     pub(crate) fn submit(self: &Arc<Self>, submission: Submission) -> Waiter {
         let (sender, answer) = oneshot::channel();
@@ -188,6 +193,7 @@
     /// Takes in an entry of the list of targets.
     pub(crate) fn target_listed(self: &Arc<Self>, info: &TargetInfo) {
         if info.zone != self.shared.settings.zone {
+            self.with(|dispatcher, _| dispatcher.upsert_far_target(info.clone()));
             return;
         }
         let id = Arc::clone(&info.id);
@@ -220,7 +226,17 @@
 
     fn act(self: &Arc<Self>, action: Action) {
         match action {
-            Action::Start { target, addr, run, spec, valid_until_clock_ms, token_offset } => {
+            Action::Start {
+                target,
+                addr,
+                run,
+                spec,
+                valid_until_clock_ms,
+                token_offset,
+                waited_ms,
+                expected_ms,
+            } => {
+                self.shared.metrics.observe_start(waited_ms, expected_ms);
                 let order =
                     StartOrder { target, addr, run, spec, valid_until_clock_ms, token_offset };
                 task::spawn(Arc::clone(self).start(order));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -215,6 +215,19 @@
 fn update_gauges(shared: &Shared, load: Load) {
     shared.metrics.is_owner.set(i64::from(shared.owner.load().is_some()));
     shared.metrics.jobs.set(load.jobs as i64);
+    let now_ms = shared.now_ms();
+    for (table, age_ms) in [
+        ("configuration", shared.configuration_confirmed.age_ms(now_ms)),
+        ("targets", shared.targets_confirmed.age_ms(now_ms)),
+    ] {
+        shared.metrics.age_ms.with_label_values(&[table]).set(age_ms as i64);
+    }
+    let queued = shared.owner.load().as_ref().map(|owner| owner.queued_jobs());
+    shared.metrics.queued_jobs.reset();
+    for (priority, jobs) in queued.unwrap_or_default() {
+        let priority = priority.to_string();
+        shared.metrics.queued_jobs.with_label_values(&[&priority]).set(jobs as i64);
+    }
     let cpu = |state: &str, value: u64| {
         shared.metrics.cpu_milli.with_label_values(&[state]).set(value as i64);
     };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -18,6 +18,25 @@
 
 use crate::{NodeMetrics, owner::Owner};
 
+/// When the store last confirmed what this process knows.
+#[derive(Debug)]
+pub(crate) struct Confirmed(AtomicU64);
+
+impl Confirmed {
+    const fn at(now_ms: u64) -> Self {
+        Confirmed(AtomicU64::new(now_ms))
+    }
+
+    pub(crate) fn confirm(&self, now_ms: u64) {
+        self.0.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time since then; since the start of the process if that never was.
+    pub(crate) fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.0.load(Ordering::Relaxed))
+    }
+}
+
 /// State that every part reads; on the path of a request only atomics and pointers that
 /// are swapped as a whole are read, besides the owner's queue.
 pub(crate) struct Shared {
@@ -39,6 +58,8 @@
     pub(crate) run_times: Mutex<RunTimes>,
     /// When the process was asked to stop; 0 if it was not.
     draining_since_ms: AtomicU64,
+    pub(crate) configuration_confirmed: Confirmed,
+    pub(crate) targets_confirmed: Confirmed,
     store_reachable: AtomicBool,
     ready: AtomicBool,
     pub(crate) metrics: NodeMetrics,
@@ -54,6 +75,8 @@
         Shared {
             live_settings: ArcSwap::from_pointee(settings.clone()),
             settings,
+            configuration_confirmed: Confirmed::at(clock.now_ms()),
+            targets_confirmed: Confirmed::at(clock.now_ms()),
             clock,
             http,
             configuration: ArcSwapOption::empty(),
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -54,6 +54,8 @@
     verifies_since_ms: Option<u64>,
     /// Sorted by name.
     targets: Vec<Target>,
+    /// The targets of other zones, sorted by name; they are reached by lending.
+    far_targets: Vec<TargetInfo>,
     /// Sorted by job.
     jobs: Vec<JobState>,
     /// Jobs with waiting tasks, sorted by priority and time.
@@ -92,6 +94,7 @@
             told_at_ms: now_ms,
             verifies_since_ms: None,
             targets: Vec::new(),
+            far_targets: Vec::new(),
             jobs: Vec::new(),
             waiting: Vec::new(),
             answers: Vec::new(),
@@ -149,6 +152,18 @@
         load
     }
 
+    /// Returns how many jobs wait for room, by priority, most urgent first.
+    pub fn queued_jobs(&self) -> Vec<(u8, usize)> {
+        let mut queued: Vec<(u8, usize)> = Vec::new();
+        for waiting in &self.waiting {
+            match queued.binary_search_by_key(&waiting.priority, |(priority, _)| *priority) {
+                Ok(at) => queued[at].1 += 1,
+                Err(at) => queued.insert(at, (waiting.priority, 1)),
+            }
+        }
+        queued
+    }
+
     /// Takes in an entry of the list of targets.
     pub fn upsert_target(&mut self, info: TargetInfo) {
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
@@ -157,8 +172,17 @@
         }
     }
 
+    /// Takes in an entry of the list of targets for a target of another zone.
+    pub fn upsert_far_target(&mut self, info: TargetInfo) {
+        match self.far_targets.binary_search_by(|target| target.id.cmp(&info.id)) {
+            Ok(at) => self.far_targets[at] = info,
+            Err(at) => self.far_targets.insert(at, info),
+        }
+    }
+
     /// Notes that a target has left the list; its runs go on until they end or lapse.
     pub fn target_left(&mut self, id: &str) {
+        self.far_targets.retain(|target| *target.id != *id);
         if let Some(target) = self.target_mut(id) {
             target.set_gone();
         }
--- a/crates/placement/src/dispatcher/action.rs
+++ b/crates/placement/src/dispatcher/action.rs
@@ -52,6 +52,10 @@
         valid_until_clock_ms: u64,
         /// What to add to the dispatcher's token.
         token_offset: u64,
+        /// How long its job has waited.
+        waited_ms: u64,
+        /// How long it is expected to run.
+        expected_ms: u64,
     },
     /// Order a target to stop a run.
     Stop {
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,7 +6,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, Submission, Target, Ticket,
+    Action, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, StepSpec,
+    Submission, Target, TargetInfo, Ticket,
     dispatcher::{
         QUEUE_SHARE_PERCENT,
         job_state::{JobPhase, JobState},
@@ -78,8 +79,8 @@
         let steps = submission.job.steps.iter();
         let expected_ms: Vec<u64> =
             steps.map(|step| times.expected_ms(&submission.queue.name, step.estimate_ms)).collect();
-        let longest_ms = expected_ms.iter().max().copied().unwrap_or(0);
-        let objective_ms = (submission.queue.stretch * longest_ms as f64) as u64
+        let chain_ms = submission.job.longest_chain_ms(&expected_ms);
+        let objective_ms = (submission.queue.stretch * chain_ms as f64) as u64
             + submission.queue.target_latency_ms;
         let job = JobState::new(submission, ticket, expected_ms, objective_ms, now_ms);
         match self.admission(&job, now_ms) {
@@ -133,25 +134,31 @@
         let is_lent = job.submission().part.is_some();
         let service = &job.submission().queue.service;
         let of_service = |target: &&Target| target.info().service == *service && !target.is_gone();
-        let mut targets = self.targets.iter().filter(of_service).peekable();
-        if targets.peek().is_none() {
-            return match now_ms < self.warm_up_until_ms() {
-                true if !is_lent => Ok(0),
-                _ => Err((RefusalReason::NoTargets, RETRY_AFTER_MIN_MS)),
-            };
-        }
-        let targets: Vec<&Target> = targets.collect();
+        let targets: Vec<&Target> = self.targets.iter().filter(of_service).collect();
         let is_known = targets.iter().any(|target| target.is_fenced());
         if !is_known && now_ms < self.warm_up_until_ms() && !is_lent {
             return Ok(0);
         }
-        let fits = |demand| targets.iter().any(|target| target.info().capacity.fits(demand));
-        if !job.demands().all(fits) {
-            return Err((RefusalReason::TooLarge, 0));
+        let here = |step: &StepSpec| targets.iter().any(|t| t.info().can_hold(service, step));
+        let elsewhere = |step: &StepSpec| {
+            let mut others = self.far_targets.iter().filter(|target| !target.draining);
+            !is_lent && others.any(|target| target.can_hold(service, step))
+        };
+        if !job.steps().all(|step| here(step) || elsewhere(step)) {
+            let is_served = !targets.is_empty()
+                || self.far_targets.iter().any(|target| target.service == *service);
+            return Err(match is_served {
+                true => (RefusalReason::TooLarge, 0),
+                false => (RefusalReason::NoTargets, RETRY_AFTER_MIN_MS),
+            });
         }
         if self.has_room_for(job, &targets, now_ms) {
             return Ok(0);
         }
+        // How the queues of other zones move is not known here.
+        if !job.steps().all(here) {
+            return Err((RefusalReason::Overloaded, RETRY_AFTER_MIN_MS));
+        }
         let wait = self.expected_wait(job);
         let starts_in_time = now_ms + wait.first_ms <= job.queue_until_ms(QUEUE_SHARE_PERCENT);
         let ends_in_time = now_ms + wait.last_ms <= job.latest_start_ms();
@@ -166,18 +173,23 @@
     /// Room that is free now is of no use to those ahead, or they would have it already.
     fn has_room_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
         let usable = targets.iter().filter(|target| target.is_usable(now_ms));
-        let mut free: Vec<_> = usable.map(|target| target.free()).collect();
+        let mut free: Vec<(&TargetInfo, Capacity)> =
+            usable.map(|target| (target.info(), target.free())).collect();
         let mut left = 0;
         for at in job.startable() {
-            let demand = &job.step(job.tasks[at].id).demand;
-            match free.iter_mut().find(|room| room.fits(demand)) {
-                Some(room) => *room = room.minus(demand),
+            let step = job.step(job.tasks[at].id);
+            let label = step.required_label.as_deref();
+            let fits = |(target, room): &&mut (&TargetInfo, Capacity)| {
+                room.fits(&step.demand) && target.has_label(label)
+            };
+            match free.iter_mut().find(fits) {
+                Some((_, room)) => *room = room.minus(&step.demand),
                 None => left += 1,
             }
         }
         match job.submission().part {
             Some(_) => left == 0,
-            None => left <= self.lendable_tasks(now_ms),
+            None => left <= self.lendable_tasks_of(job, now_ms),
         }
     }
 
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    Capacity, EarlierRuns, JobId, Run, StepSpec, Submission, TaskId,
+    EarlierRuns, JobId, Run, StepSpec, Submission, TaskId,
     dispatcher::{Ticket, WaitingJob},
 };
 
@@ -175,10 +175,17 @@
         self.sent_at_ms + self.objective_ms * share_percent / 100
     }
 
-    /// Returns when its longest task has to start for the job to be in time.
+    /// Returns when the tasks whose turn has come have to start for the job to be in time.
     pub(super) fn latest_start_ms(&self) -> u64 {
-        let longest_ms = self.expected_ms.iter().max().copied().unwrap_or(0);
-        self.sent_at_ms + self.objective_ms.saturating_sub(longest_ms)
+        let is_done = |step: usize| {
+            let mut of_step = self.tasks.iter().filter(|task| usize::from(task.id.step) == step);
+            of_step.all(|task| matches!(task.state, TaskState::Done))
+        };
+        let steps = self.expected_ms.iter().enumerate();
+        let left_ms: Vec<u64> =
+            steps.map(|(step, own_ms)| if is_done(step) { 0 } else { *own_ms }).collect();
+        let chain_ms = self.submission.job.longest_chain_ms(&left_ms);
+        self.sent_at_ms + self.objective_ms.saturating_sub(chain_ms)
     }
 
     pub(super) const fn set_late(&mut self) {
@@ -372,8 +379,7 @@
         self.has_started = true;
     }
 
-    /// Returns the largest demand of its steps, field by field.
-    pub(super) fn demands(&self) -> impl Iterator<Item = &Capacity> {
-        self.submission.job.steps.iter().map(|step| &step.demand)
+    pub(super) fn steps(&self) -> impl Iterator<Item = &StepSpec> {
+        self.submission.job.steps.iter()
     }
 }
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -82,7 +82,28 @@
         lenders.map(|lender| lender.free_tasks).sum()
     }
 
-    /// Offers waiting tasks of a job to the zone with the most room.
+    /// Returns how many tasks there is room for in the zones that can hold one of a job.
+    pub(super) fn lendable_tasks_of(&self, job: &JobState, now_ms: u64) -> u64 {
+        let startable = job.startable();
+        let lenders = self.lenders.iter().filter(|lender| lender.is_current(now_ms));
+        let able = lenders.filter(|lender| self.may_hold_any(&lender.zone, job, &startable));
+        able.map(|lender| lender.free_tasks).sum()
+    }
+
+    fn may_hold_any(&self, zone: &Zone, job: &JobState, tasks: &[usize]) -> bool {
+        tasks.iter().any(|at| self.may_hold(zone, job, *at))
+    }
+
+    /// Returns whether a zone has a target that can hold a task, or none that is known.
+    fn may_hold(&self, zone: &Zone, job: &JobState, at: usize) -> bool {
+        let (service, step) = (&job.submission().queue.service, job.step(job.tasks[at].id));
+        let mut known = self.far_targets.iter().filter(|target| target.zone == *zone).peekable();
+        known.peek().is_none()
+            || known.any(|target| !target.draining && target.can_hold(service, step))
+    }
+
+    /// Offers waiting tasks of a job to the zone with the most room of those that can hold
+    /// them.
     pub(super) fn lend(&mut self, id: JobId, now_ms: u64) {
         let Some(job) = self.job(id) else { return };
         let submission = job.submission();
@@ -92,27 +113,28 @@
         if !may_lend {
             return;
         }
-        let mut startable = job.startable();
-        let is_free = |lender: &&mut Lender| {
+        let mut tasks = job.startable();
+        let is_free = |lender: &&Lender| {
             let has_part = |lent: &LentPart| lent.job == id && lent.zone == lender.zone;
             lender.free_tasks > 0
                 && lender.is_current(now_ms)
                 && !self.lent_parts.iter().any(has_part)
+                && self.may_hold_any(&lender.zone, job, &tasks)
         };
-        let lenders = self.lenders.iter_mut().filter(is_free);
+        let lenders = self.lenders.iter().filter(is_free);
         let Some(lender) = lenders.max_by_key(|lender| lender.free_tasks) else { return };
-        startable.truncate(lender.free_tasks as usize);
-        if startable.is_empty() {
-            return;
+        let (zone, free_tasks) = (lender.zone.clone(), lender.free_tasks);
+        tasks.retain(|at| self.may_hold(&zone, job, *at));
+        tasks.truncate(free_tasks as usize);
+        if let Ok(at) = self.lenders.binary_search_by(|lender| lender.zone.cmp(&zone)) {
+            self.lenders[at].free_tasks -= tasks.len() as u64;
         }
-        lender.free_tasks -= startable.len() as u64;
-        let zone = lender.zone.clone();
         let part = self.next_part;
         self.next_part = self.next_part.wrapping_add(1);
         let Some(job) = self.job_mut(id) else { return };
-        let submission = job.lend(part, &startable, now_ms);
+        let submission = job.lend(part, &tasks, now_ms);
         let is_placed = job.waiting_tasks() == 0;
-        log_job_event!(id.is_sampled(), JobLent, job = %id, zone = %zone, part, tasks = startable.len());
+        log_job_event!(id.is_sampled(), JobLent, job = %id, zone = %zone, part, tasks = tasks.len());
         if is_placed {
             self.unqueue(id);
         }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -52,7 +52,8 @@
     /// Starts what fits of one job. Returns whether anything was started.
     fn place_job(&mut self, id: JobId, largest_free: Capacity, now_ms: u64) -> bool {
         let Some(job) = self.job(id) else { return false };
-        if job.phase() != JobPhase::Open || !job.demands().any(|demand| largest_free.fits(demand)) {
+        if job.phase() != JobPhase::Open || !job.steps().any(|step| largest_free.fits(&step.demand))
+        {
             return false;
         }
         let mut started = false;
@@ -101,12 +102,12 @@
             target.info().service == *service
                 && target.is_usable(now_ms)
                 && target.free().fits(&step.demand)
-                && has_label(target, step.required_label.as_deref())
+                && target.info().has_label(step.required_label.as_deref())
                 && has_turn(target, step, task)
         };
         let cost = |target: &Target| {
             let avoided = avoid == Some(target.info().id.as_ref());
-            let far = step.near_rack.is_some() && !has_label(target, step.near_rack.as_deref());
+            let far = !target.info().has_label(step.near_rack.as_deref());
             (avoided, far, target.free().minus(&step.demand).cpu_milli)
         };
         let candidates = self.targets.iter().enumerate().filter(|(_, target)| fits(target));
@@ -123,8 +124,9 @@
         let target = &mut self.targets[target_at];
         let valid_until_clock_ms = target.reserve(run, demand, expected_ms, now_ms);
         let name = Arc::clone(&target.info().id);
+        let waited_ms = now_ms.saturating_sub(job.sent_at_ms());
         log_job_event!(run.task.job.is_sampled(), TaskStarted, run = %run, target = %name,
-            waited_ms = now_ms - job.sent_at_ms(), free_cpu_milli = target.free().cpu_milli
+            waited_ms, free_cpu_milli = target.free().cpu_milli
         );
         job.assign(task_at, Arc::clone(&name), run);
         self.actions.push(Action::Start {
@@ -134,14 +136,12 @@
             spec: Arc::clone(&job.submission().job.spec),
             valid_until_clock_ms,
             token_offset: target.token_offset(),
+            waited_ms,
+            expected_ms,
         });
     }
 }
 
-fn has_label(target: &Target, label: Option<&str>) -> bool {
-    label.is_none_or(|label| target.info().labels.iter().any(|own| own == label))
-}
-
 fn has_turn(target: &Target, step: &StepSpec, task: TaskId) -> bool {
     let Some(most) = step.per_target_max else { return true };
     let same_step = |run: &Run| run.task.job == task.job && run.task.step == task.step;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -189,6 +189,17 @@
         Ok(())
     }
 
+    /// Returns the longest time that steps take which come after each other, if tasks of each
+    /// step take the time in `step_ms`.
+    pub fn longest_chain_ms(&self, step_ms: &[u64]) -> u64 {
+        let mut until_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (step, own_ms) in self.steps.iter().zip(step_ms) {
+            let after = step.after.iter().filter_map(|earlier| until_ms.get(usize::from(*earlier)));
+            until_ms.push(own_ms + after.max().copied().unwrap_or(0));
+        }
+        until_ms.into_iter().max().unwrap_or(0)
+    }
+
     /// Returns the number of tasks.
     pub fn task_count(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.count)).sum()
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -5,7 +5,7 @@
 use ggb_model::Zone;
 use serde::{Deserialize, Serialize};
 
-use crate::{Capacity, Run, RunEnd, TaskId};
+use crate::{Capacity, Run, RunEnd, StepSpec, TaskId};
 
 /// The longest lease that a target grants.
 pub const LEASE_MS: u64 = 1_000;
@@ -58,6 +58,20 @@
     pub draining: bool,
 }
 
+impl TargetInfo {
+    /// Returns whether it has a label, if one is asked for.
+    pub fn has_label(&self, label: Option<&str>) -> bool {
+        label.is_none_or(|label| self.labels.iter().any(|own| own == label))
+    }
+
+    /// Returns whether a task of `step` may run there and fits when nothing else does.
+    pub fn can_hold(&self, service: &str, step: &StepSpec) -> bool {
+        *self.service == *service
+            && self.capacity.fits(&step.demand)
+            && self.has_label(step.required_label.as_deref())
+    }
+}
+
 /// What a target lists: what runs there and what has ended.
 #[derive(Clone, Debug)]
 pub struct Listing {
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -108,6 +108,23 @@
         stops.collect()
     }
 
+    fn hear_room(&mut self, zone: &str, free_tasks: u64) {
+        let zone = zone.parse().expect("the case is set up right");
+        self.dispatcher.room_heard(&zone, free_tasks, self.now_ms);
+    }
+
+    /// Returns the zone and the number of tasks of each part that is lent.
+    fn lent(&mut self) -> Vec<(String, usize)> {
+        let lent = self.actions().into_iter().filter_map(|action| match action {
+            Action::Lend { zone, submission, .. } => {
+                let tasks = submission.job.task_count() - submission.done.len();
+                Some((zone.as_str().to_owned(), tasks))
+            }
+            _ => None,
+        });
+        lent.collect()
+    }
+
     fn answers(&mut self) -> Vec<JobAnswer> {
         let answers = self.actions().into_iter().filter_map(|action| match action {
             Action::Answer { answer, .. } => Some(answer),
@@ -134,6 +151,12 @@
     }
 }
 
+fn far_target(zone: &str, cores: u64) -> TargetInfo {
+    let id = format!("far-{zone}").into();
+    let zone = zone.parse().expect("the case is set up right");
+    TargetInfo { id, zone, ..target(0, cores) }
+}
+
 fn step(count: u16) -> StepSpec {
     StepSpec {
         count,
@@ -251,6 +274,56 @@
         assert_eq!(answers, [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
     }
 
+    a_job_of_several_steps_waits_by_its_longest_chain(bench: [48]) {
+        bench.submit(job(JOB, vec![step(3)]));
+        let second = StepSpec { after: vec![0], ..step(1) };
+        bench.submit(job("00000000000000bb", vec![step(1), second]));
+        bench.actions();
+        bench.pass(100);
+        assert_eq!(bench.answers(), []);
+        bench.pass(50);
+        let reason = RefusalReason::StillQueued;
+        assert_eq!(bench.answers(), [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
+    }
+
+    a_zone_without_targets_uses_another_one(bench: []) {
+        bench.dispatcher.upsert_far_target(far_target("b", 32));
+        bench.hear_room("b", 4);
+        bench.pass(1_500);
+        bench.hear_room("b", 4);
+        bench.submit(job(JOB, vec![step(2)]));
+        assert_eq!(bench.lent(), [("b".to_owned(), 2)]);
+    }
+
+    what_only_another_zone_can_hold_goes_there(bench: [16]) {
+        bench.dispatcher.upsert_far_target(far_target("b", 32));
+        let large = TargetInfo { labels: vec!["gpu".to_owned()], ..far_target("c", 32) };
+        bench.dispatcher.upsert_far_target(large);
+        bench.hear_room("b", 9);
+        bench.hear_room("c", 2);
+        let step = StepSpec { required_label: Some("gpu".to_owned()), ..step(1) };
+        bench.submit(job(JOB, vec![step]));
+        assert_eq!(bench.lent(), [("c".to_owned(), 1)]);
+    }
+
+    what_no_zone_can_hold_is_refused_for_good(bench: [16]) {
+        bench.dispatcher.upsert_far_target(far_target("b", 32));
+        bench.hear_room("b", 9);
+        let step = StepSpec { required_label: Some("gpu".to_owned()), ..step(1) };
+        bench.submit(job(JOB, vec![step]));
+        let reason = RefusalReason::TooLarge;
+        assert_eq!(bench.answers(), [JobAnswer::Refused { reason, retry_after_ms: 0 }]);
+    }
+
+    what_only_another_zone_can_hold_is_refused_while_that_is_full(bench: [16]) {
+        bench.dispatcher.upsert_far_target(far_target("b", 64));
+        bench.hear_room("b", 0);
+        let large = Capacity { cpu_milli: 40_000, memory_mb: 64, gpus: 0 };
+        bench.submit(job(JOB, vec![StepSpec { demand: large, ..step(1) }]));
+        let reason = RefusalReason::Overloaded;
+        assert_eq!(bench.answers(), [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
+    }
+
     a_failed_task_goes_elsewhere_until_its_attempts_are_used(bench: [16, 16]) {
         bench.submit(job(JOB, vec![step(1)]));
         assert_eq!(bench.starts(), [("t-0".to_owned(), run(0, 1))]);
