A request that is cut off at the end of a drain is named in the logs

The process now logs RequestCutOff with the job and its wait; a case on real processes failed before.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -164,6 +164,22 @@
         check_done(&fleet, 5, 2);
     }
 
+    a_request_that_a_node_can_not_wait_for_is_named_in_its_logs(64, fleet) {
+        let settings = fs::read_to_string(&fleet.nodes[0].settings).unwrap();
+        fs::write(&fleet.nodes[0].settings, settings.replace("graceS = 6", "graceS = 3")).unwrap();
+        fleet.nodes[0].process.signal(Signal::SIGHUP).unwrap();
+        let answer = fleet.submit(0, 0xab, 1, 20_000);
+        let stopping = async {
+            fleet.until("the task runs", || async { !fleet.records().is_empty() }).await;
+            fleet.nodes[0].process.signal(Signal::SIGTERM).unwrap();
+        };
+        let (answer, ()) = futures::join!(answer, stopping);
+        assert!(answer.is_none(), "{answer:?}");
+        let log = fs::read_to_string(fleet.dir.join("node-0-1.log")).unwrap();
+        let line = log.lines().find(|line| line.contains("RequestCutOff"));
+        assert!(line.is_some_and(|line| line.contains("00000000000000ab")), "{line:?}");
+    }
+
     a_zone_without_targets_uses_the_other_one(63, fleet) {
         for target in 0..2 {
             fleet.list_target(target, "draining");
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 
 use crate::{
+    open_requests::OpenRequest,
     owner::Owner,
     peer_api::{JobReply, send_job},
     shared::Shared,
@@ -113,6 +114,7 @@
         waited_ms: 0,
     };
     let deadline_ms = asked.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let _open = shared.open_requests.enter(OpenRequest { job: id, received_at_ms });
     let outcome =
         wait_for_answer(shared, submission, connection, received_at_ms, deadline_ms).await;
     let took_ms = shared.now_ms() - received_at_ms;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod directory;
 mod lending;
 mod metrics;
+mod open_requests;
 mod owner;
 mod peer_api;
 mod peers;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -160,6 +160,11 @@
             }
             task::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
         }
+        let now_ms = self.shared.now_ms();
+        for request in self.shared.open_requests.list() {
+            let waited_ms = now_ms - request.received_at_ms;
+            log_event!(warn, RequestCutOff, job = %request.job, waited_ms);
+        }
         log_event!(info, DrainEnded, requests = self.callers.requests());
     }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -16,7 +16,7 @@
 use ggb_placement::{RunTimes, TargetInfo};
 use parking_lot::Mutex;
 
-use crate::{NodeMetrics, owner::Owner};
+use crate::{NodeMetrics, open_requests::OpenRequests, owner::Owner};
 
 /// When the store last confirmed what this process knows.
 #[derive(Debug)]
@@ -54,6 +54,7 @@
     pub(crate) targets: Mutex<Vec<TargetInfo>>,
     /// Addresses of the other processes, sorted.
     pub(crate) peers: Mutex<Vec<IpAddr>>,
+    pub(crate) open_requests: OpenRequests,
     /// What this process learned of run times while it was the owner.
     pub(crate) run_times: Mutex<RunTimes>,
     /// When the process was asked to stop; 0 if it was not.
@@ -84,6 +85,7 @@
             ownership: Mutex::new(own),
             targets: Mutex::new(Vec::new()),
             peers: Mutex::new(Vec::new()),
+            open_requests: OpenRequests::default(),
             run_times: Mutex::new(RunTimes::default()),
             draining_since_ms: AtomicU64::new(0),
             store_reachable: AtomicBool::new(true),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -104,6 +104,8 @@
     PartSettled = 610,
     /// A job was asked for of which other tasks run here for another availability zone.
     RivalPart = 611,
+    /// The process ends before a request has its answer; its tasks may have run.
+    RequestCutOff = 612,
     /// An order to start a task was sent.
     TaskStarted = 620,
     /// A target did not carry out an order to start a task; the task waits again.
