--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -102,6 +102,7 @@
     if shared.draining_for_ms().is_some_and(|since_ms| since_ms > DRAIN_ACCEPT_MS) {
         return refusal("stopping", 1_000);
     }
+    let deadline_ms = asked.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let declared_ms: Vec<u64> = job.steps.iter().map(|step| step.estimate_ms).collect();
     let ideal_ms = job.longest_chain_ms(&declared_ms);
     let submission = Submission {
@@ -112,8 +113,8 @@
         done: Vec::new(),
         held_under: None,
         waited_ms: 0,
+        deadline_ms,
     };
-    let deadline_ms = asked.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let _open = shared.open_requests.enter(OpenRequest { job: id, received_at_ms });
     let outcome =
         wait_for_answer(shared, submission, connection, received_at_ms, deadline_ms).await;
@@ -153,6 +154,7 @@
             RequestOutcome::Answered(JobAnswer::Completed) => "completed",
             RequestOutcome::Answered(JobAnswer::Failed) => "failed",
             RequestOutcome::Answered(JobAnswer::Refused { .. }) => "refused",
+            RequestOutcome::Answered(JobAnswer::GivenUp) => "given up",
             RequestOutcome::Answered(
                 JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown,
             ) => "unknown",
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -58,7 +58,10 @@
                 return LentOutcome::Refused;
             }
             Ok(JobReply::Answered(
-                JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown,
+                JobAnswer::GivenUp
+                | JobAnswer::Moved { .. }
+                | JobAnswer::NotTaken
+                | JobAnswer::Unknown,
             ))
             | Err(Sent::Maybe) => {
                 log_event!(warn, RequestResumed, job = %submission.job.id, zone = %zone);
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -5,7 +5,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobId, LEASE_GONE_MS, RefusalReason, RunPhase,
+    Dispatcher, JobAnswer, JobId, LEASE_GONE_MS, RefusalReason, RunPhase,
     dispatcher::{
         QUEUE_SHARE_PERCENT,
         job_state::{JobPhase, JobState},
@@ -36,6 +36,10 @@
 /// The pause before an order to stop a run is sent again.
 const STOP_RETRY_MS: u64 = 100;
 
+/// The least share of its expected time that a task runs, in percent. Callers' estimates are
+/// off by up to 40%, and run times spread as much.
+const SHORTEST_RUN_PERCENT: u64 = 50;
+
 /// How long the answer of a finished job is kept for a repeated request.
 const ANSWER_KEPT_MS: u64 = 15_000;
 
@@ -48,6 +52,7 @@
         self.stop_overdue_runs(now_ms);
         self.close_abandoned(now_ms);
         self.refuse_overdue(now_ms);
+        self.give_up_hopeless(now_ms);
         self.defer_late(now_ms);
         self.place(now_ms);
         for target in &mut self.targets {
@@ -161,6 +166,29 @@
         }
     }
 
+    /// Answers jobs that have begun and whose waiting tasks can't end before their callers'
+    /// deadlines, however soon there is room for them.
+    fn give_up_hopeless(&mut self, now_ms: u64) {
+        let is_hopeless = |job: &JobState| {
+            let is_own = job.phase() == JobPhase::Open && job.submission().part.is_none();
+            let least_ms = job.waiting_chain_ms() * SHORTEST_RUN_PERCENT / 100;
+            is_own && job.has_started() && now_ms + least_ms > job.caller_deadline_ms()
+        };
+        let waiting = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
+        let hopeless: Vec<JobId> =
+            waiting.filter(|job| is_hopeless(job)).map(JobState::id).collect();
+        for id in hopeless {
+            if let Some(job) = self.job(id) {
+                log_event!(
+                    info, JobGivenUp, job = %id, waited_ms = now_ms - job.sent_at_ms(),
+                    deadline_ms = job.submission().deadline_ms, tasks = job.waiting_tasks()
+                );
+            }
+            self.answer(id, &JobAnswer::GivenUp);
+            self.close(id, JobPhase::Abandoned, now_ms);
+        }
+    }
+
     /// Moves jobs that can't be in time any more behind those that can.
     fn defer_late(&mut self, now_ms: u64) {
         let on_time = self.waiting.iter().filter(|waiting| !waiting.is_late);
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -177,15 +177,30 @@
 
     /// Returns when the tasks whose turn has come have to start for the job to be in time.
     pub(super) fn latest_start_ms(&self) -> u64 {
-        let is_done = |step: usize| {
+        let left_ms = self.chain_ms(|state| !matches!(state, TaskState::Done));
+        self.sent_at_ms + self.objective_ms.saturating_sub(left_ms)
+    }
+
+    /// Returns the expected time of the longest chain of steps with waiting tasks.
+    pub(super) fn waiting_chain_ms(&self) -> u64 {
+        self.chain_ms(|state| matches!(state, TaskState::Waiting))
+    }
+
+    /// Returns the expected time of the longest chain of steps with a task in such a state.
+    fn chain_ms(&self, counts: impl Fn(&TaskState) -> bool) -> u64 {
+        let is_counted = |step: usize| {
             let mut of_step = self.tasks.iter().filter(|task| usize::from(task.id.step) == step);
-            of_step.all(|task| matches!(task.state, TaskState::Done))
+            of_step.any(|task| counts(&task.state))
         };
         let steps = self.expected_ms.iter().enumerate();
-        let left_ms: Vec<u64> =
-            steps.map(|(step, own_ms)| if is_done(step) { 0 } else { *own_ms }).collect();
-        let chain_ms = self.submission.job.longest_chain_ms(&left_ms);
-        self.sent_at_ms + self.objective_ms.saturating_sub(chain_ms)
+        let step_ms: Vec<u64> =
+            steps.map(|(step, own_ms)| if is_counted(step) { *own_ms } else { 0 }).collect();
+        self.submission.job.longest_chain_ms(&step_ms)
+    }
+
+    /// Returns when its caller stops waiting.
+    pub(super) const fn caller_deadline_ms(&self) -> u64 {
+        self.sent_at_ms.saturating_add(self.submission.deadline_ms)
     }
 
     pub(super) const fn set_late(&mut self) {
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -243,6 +243,8 @@
     pub held_under: Option<u64>,
     /// How long the caller has waited already.
     pub waited_ms: u64,
+    /// How long the caller waits in all.
+    pub deadline_ms: u64,
 }
 
 impl Submission {
@@ -300,6 +302,8 @@
         /// When a new try has a chance.
         retry_after_ms: u64,
     },
+    /// The job can't end before its caller's deadline; tasks of it have run.
+    GivenUp,
     /// This dispatcher has given up its targets; the next one can go on with the job.
     Moved {
         /// The step and index of each task that is done.
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -8,6 +8,9 @@
     Submission, TargetInfo, Ticket,
 };
 
+/// How long a caller waits.
+const DEADLINE_MS: u64 = 1_500;
+
 const JOB: &str = "00000000000000aa";
 
 /// A dispatcher with targets that a case drives by hand.
@@ -108,6 +111,26 @@
         stops.collect()
     }
 
+    /// Fills the only slot, queues a late job of 12 tasks of which `done` are done and one
+    /// that is in time, and returns which of the two starts when the slot is free.
+    fn first_of_late_and_timely(&mut self, done: u16) -> String {
+        let first = "00000000000000cc";
+        self.submit(job(first, vec![step(1)]));
+        let held = self.starts()[0].1;
+        self.submit(Submission {
+            done: (0..done).map(|index| (0, index)).collect(),
+            earlier_runs: EarlierRuns::OwnZone,
+            waited_ms: 400,
+            ..job(JOB, vec![step(12)])
+        });
+        let mut timely = job("00000000000000bb", vec![step(1)]);
+        timely.queue.stretch = 20.0;
+        self.submit(timely);
+        self.pass(50);
+        self.list(0, &[], &[(1, held, RunEnd::Done)]);
+        self.starts()[0].1.task.job.as_str().to_owned()
+    }
+
     fn hear_room(&mut self, zone: &str, free_tasks: u64) {
         let zone = zone.parse().expect("the case is set up right");
         self.dispatcher.room_heard(&zone, free_tasks, self.now_ms);
@@ -189,6 +212,7 @@
         done: Vec::new(),
         held_under: None,
         waited_ms: 0,
+        deadline_ms: DEADLINE_MS,
     }
 }
 
@@ -274,6 +298,29 @@
         assert_eq!(answers, [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
     }
 
+    a_job_that_can_not_end_in_time_is_given_up_at_once(bench: [16]) {
+        bench.submit(Submission { deadline_ms: 300, ..job(JOB, vec![step(2)]) });
+        bench.actions();
+        bench.pass(240);
+        assert_eq!(bench.answers(), []);
+        bench.pass(20);
+        let actions = bench.actions();
+        let answers = actions.iter().filter(|action| matches!(action, Action::Answer { .. }));
+        let is_given_up = |action: &Action| {
+            matches!(action, Action::Answer { answer: JobAnswer::GivenUp, .. })
+        };
+        assert!(answers.clone().count() == 1 && answers.clone().all(is_given_up), "{actions:?}");
+        assert!(actions.iter().any(|action| matches!(action, Action::Stop { .. })), "{actions:?}");
+    }
+
+    a_late_job_that_is_nearly_done_keeps_its_place(bench: [16]) {
+        assert_eq!(bench.first_of_late_and_timely(9), JOB);
+    }
+
+    a_late_job_with_much_left_goes_last(bench: [16]) {
+        assert_eq!(bench.first_of_late_and_timely(6), "00000000000000bb");
+    }
+
     a_job_of_several_steps_waits_by_its_longest_chain(bench: [48]) {
         bench.submit(job(JOB, vec![step(3)]));
         let second = StepSpec { after: vec![0], ..step(1) };
--- a/crates/placement/tests/offer.rs
+++ b/crates/placement/tests/offer.rs
@@ -2,6 +2,9 @@
 
 use ggb_placement::{BatchJob, EarlierRuns, Offer, QueueRules, Submission};
 
+/// How long a caller waits.
+const DEADLINE_MS: u64 = 1_500;
+
 fn offer() -> Offer {
     Offer::new(Submission {
         job: BatchJob {
@@ -22,6 +25,7 @@
         done: Vec::new(),
         held_under: None,
         waited_ms: 0,
+        deadline_ms: DEADLINE_MS,
     })
 }
 
--- a/crates/placement/tests/world/links.rs
+++ b/crates/placement/tests/world/links.rs
@@ -306,9 +306,10 @@
             JobAnswer::Completed => (LentOutcome::Completed, FAR_MS),
             JobAnswer::Failed => (LentOutcome::Failed, FAR_MS),
             JobAnswer::Refused { .. } => (LentOutcome::Refused, FAR_MS),
-            JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown => {
-                (LentOutcome::Lost, FAR_MS + LENT_GONE_MS)
-            }
+            JobAnswer::GivenUp
+            | JobAnswer::Moved { .. }
+            | JobAnswer::NotTaken
+            | JobAnswer::Unknown => (LentOutcome::Lost, FAR_MS + LENT_GONE_MS),
         };
         self.tell_owner(id, delay_ms, move |world| {
             world.owners[id].lent.retain(|(lent, _, _)| *lent != part);
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -16,6 +16,9 @@
 
 pub use links::Faults;
 
+/// How long a caller waits, from the users' sheets.
+const DEADLINE_MS: u64 = 1_500;
+
 /// One way between a dispatcher and a target of its zone, and between zones.
 const NEAR_MS: u64 = 1;
 const FAR_MS: u64 = 2;
@@ -391,6 +394,7 @@
             done: Vec::new(),
             held_under: None,
             waited_ms: 0,
+            deadline_ms: DEADLINE_MS,
         };
         self.callers.push(Caller {
             submission,
@@ -501,7 +505,7 @@
                 submission.earlier_runs = submission.earlier_runs.max(earlier_runs);
                 self.offer(caller, zone);
             }
-            (Waiter::Caller(caller), JobAnswer::Unknown) => {
+            (Waiter::Caller(caller), JobAnswer::Unknown | JobAnswer::GivenUp) => {
                 self.callers[caller].broke_off = true;
                 self.resend(caller, zone);
             }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,6 +106,8 @@
     RivalPart = 611,
     /// The process ends before a request has its answer; its tasks may have run.
     RequestCutOff = 612,
+    /// A job that has begun can't end before its caller's deadline; it is answered and stopped.
+    JobGivenUp = 613,
     /// An order to start a task was sent.
     TaskStarted = 620,
     /// A target did not carry out an order to start a task; the task waits again.
