--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -252,7 +252,7 @@
             }
             StartOutcome::Accepted | StartOutcome::Unanswered => return,
             // A listing has shown the run since the order was sent; only the next one ends it.
-            _ if held.phase == RunPhase::Running => return,
+            _ if held.is_confirmed => return,
             StartOutcome::NoRoom => target.pause_for_room(now_ms),
             StartOutcome::Unhealthy | StartOutcome::Invalid => target.eject(now_ms),
             StartOutcome::OtherLife => target.set_gone(),
@@ -347,7 +347,7 @@
 
     fn stop(&mut self, at: usize, run: Run, now_ms: u64) {
         let target = &mut self.targets[at];
-        if target.set_phase(run, RunPhase::Stopping, now_ms) {
+        if target.note_stop(run, now_ms) {
             let token_offset = target.token_offset();
             let (target, addr) = (Arc::clone(&target.info().id), target.info().addr);
             self.actions.push(Action::Stop { target, addr, run, token_offset });
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -59,7 +59,7 @@
         }
         if let Some(job) = self.job_mut(id) {
             let reopened = job.phase() == JobPhase::Abandoned;
-            job.attach(ticket);
+            job.attach(ticket, submission.caller_deadline_ms(now_ms));
             if reopened && job.waiting_tasks() > 0 {
                 self.enqueue(id);
             }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -61,6 +61,8 @@
     phase: JobPhase,
     /// When its caller sent it.
     sent_at_ms: u64,
+    /// When the last of its callers stops waiting.
+    caller_deadline_ms: u64,
     objective_ms: u64,
     has_started: bool,
     abandoned_at_ms: Option<u64>,
@@ -91,7 +93,8 @@
             })
             .collect();
         let mut job = JobState {
-            sent_at_ms: now_ms.saturating_sub(submission.waited_ms),
+            sent_at_ms: submission.sent_at_ms(now_ms),
+            caller_deadline_ms: submission.caller_deadline_ms(now_ms),
             has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
             is_late: false,
@@ -138,8 +141,9 @@
         std::mem::take(&mut self.tickets)
     }
 
-    /// Adds a caller; an abandoned job goes on.
-    pub(super) fn attach(&mut self, ticket: Ticket) {
+    /// Adds a caller that waits until `until_ms`; an abandoned job goes on.
+    pub(super) fn attach(&mut self, ticket: Ticket, until_ms: u64) {
+        self.caller_deadline_ms = self.caller_deadline_ms.max(until_ms);
         self.tickets.push(ticket);
         self.abandoned_at_ms = None;
         self.phase = JobPhase::Open;
@@ -198,13 +202,13 @@
         self.submission.job.longest_chain_ms(&step_ms)
     }
 
-    /// Returns when its caller stops waiting.
+    /// Returns when the last of its callers stops waiting.
     pub(super) const fn caller_deadline_ms(&self) -> u64 {
-        self.sent_at_ms.saturating_add(self.submission.deadline_ms)
+        self.caller_deadline_ms
     }
 
-    pub(super) const fn set_late(&mut self) {
-        self.is_late = true;
+    pub(super) const fn set_late(&mut self, is_late: bool) {
+        self.is_late = is_late;
     }
 
     pub(super) fn waiting(&self) -> WaitingJob {
@@ -230,11 +234,17 @@
 
     /// Returns the work that waits, in thousandths of a core times ms.
     pub(super) fn waiting_work(&self) -> u64 {
-        let work = |task: &TaskEntry| {
-            let expected_ms = self.expected_ms[usize::from(task.id.step)];
-            self.step(task.id).demand.cpu_milli * expected_ms
-        };
-        self.waiting_entries().map(work).sum()
+        self.waiting_entries().map(|task| self.work_of(task)).sum()
+    }
+
+    fn work_of(&self, task: &TaskEntry) -> u64 {
+        self.step(task.id).demand.cpu_milli * self.expected_ms[usize::from(task.id.step)]
+    }
+
+    /// Returns the share of the job's work that waits, in percent.
+    pub(super) fn waiting_percent(&self) -> u64 {
+        let all: u64 = self.tasks.iter().map(|task| self.work_of(task)).sum();
+        100 * self.waiting_work() / all.max(1)
     }
 
     /// Returns whether all steps that `task` comes after are done.
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -248,6 +248,16 @@
 }
 
 impl Submission {
+    /// Returns when the caller sent the job.
+    pub(crate) const fn sent_at_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.waited_ms)
+    }
+
+    /// Returns when the caller stops waiting.
+    pub(crate) const fn caller_deadline_ms(&self, now_ms: u64) -> u64 {
+        self.sent_at_ms(now_ms).saturating_add(self.deadline_ms)
+    }
+
     /// Returns the job as the owner with `token` has to treat it: if it was left with an
     /// owner under another token, tasks of it may run anywhere.
     pub fn received_under(mut self, token: u64) -> Self {
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -150,6 +150,10 @@
     pub phase: RunPhase,
     /// When this phase began.
     pub since_ms: u64,
+    /// Whether the target said that it runs; until then the order may still be under way.
+    pub is_confirmed: bool,
+    /// When it was last ordered to stop.
+    pub stop_sent_at_ms: u64,
     /// When the order was sent.
     pub ordered_at_ms: u64,
     /// The last moment on the target's clock at which it may begin.
@@ -408,6 +412,8 @@
             demand,
             phase: RunPhase::Ordered,
             since_ms: now_ms,
+            is_confirmed: false,
+            stop_sent_at_ms: 0,
             ordered_at_ms: now_ms,
             valid_until_clock_ms,
             token_offset: self.token_offset,
@@ -439,10 +445,22 @@
             .map(|held| {
                 held.phase = phase;
                 held.since_ms = now_ms;
+                held.is_confirmed |= phase == RunPhase::Running;
             })
             .is_some()
     }
 
+    /// Notes that a run is ordered to stop, perhaps once more. Returns whether it is there.
+    pub fn note_stop(&mut self, run: Run, now_ms: u64) -> bool {
+        let Some(held) = self.runs.iter_mut().find(|held| held.run == run) else { return false };
+        held.stop_sent_at_ms = now_ms;
+        if held.phase != RunPhase::Stopping {
+            held.phase = RunPhase::Stopping;
+            held.since_ms = now_ms;
+        }
+        true
+    }
+
     /// Gives an orphaned run the demand and expectation of the job that asked for it.
     pub fn adopt(&mut self, run: Run, demand: Capacity, expected_ms: u64, now_ms: u64) {
         if let Some(mut held) = self.release(run) {
@@ -513,8 +531,7 @@
     fn begin_new_life(&mut self, now_ms: u64, ended: &mut Vec<EndedRun>) {
         self.token_offset += 1;
         self.life_since_ms = now_ms;
-        let is_under_way =
-            |held: &TargetRun| matches!(held.phase, RunPhase::Ordered | RunPhase::Unanswered);
+        let is_under_way = |held: &TargetRun| !held.is_confirmed;
         let over: Vec<Run> =
             self.runs.iter().filter(|held| !is_under_way(held)).map(|held| held.run).collect();
         for run in over {
@@ -544,6 +561,7 @@
                         held.phase = RunPhase::Running;
                         held.since_ms = now_ms;
                     }
+                    held.is_confirmed = true;
                     held.listed_at_ms = now_ms;
                     if held.percent != listed.percent {
                         held.percent = listed.percent;
@@ -556,6 +574,8 @@
                     demand: Capacity { cpu_milli: listed.used_cpu_milli, ..Capacity::default() },
                     phase: RunPhase::Orphaned,
                     since_ms: now_ms,
+                    is_confirmed: true,
+                    stop_sent_at_ms: 0,
                     ordered_at_ms: now_ms,
                     valid_until_clock_ms: 0,
                     token_offset: self.token_offset,
@@ -573,13 +593,9 @@
         let is_missing = |held: &TargetRun| {
             let due = match held.phase {
                 RunPhase::Ordered => false,
-                RunPhase::Unanswered if held.token_offset < self.token_offset => {
-                    asked_at_ms > self.life_since_ms
-                }
-                RunPhase::Unanswered => listing.clock_ms > held.valid_until_clock_ms,
-                RunPhase::Running | RunPhase::Stopping | RunPhase::Orphaned => {
-                    held.since_ms < asked_at_ms
-                }
+                _ if held.is_confirmed => held.since_ms < asked_at_ms,
+                _ if held.token_offset < self.token_offset => asked_at_ms > self.life_since_ms,
+                _ => listing.clock_ms > held.valid_until_clock_ms,
             };
             due && !listing.running.iter().any(|listed| listed.run == held.run)
         };
--- a/crates/standin/src/model_target.rs
+++ b/crates/standin/src/model_target.rs
@@ -92,7 +92,7 @@
 
     /// Returns the steady clock of this life.
     pub const fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms - self.booted_at_ms
+        now_ms.saturating_sub(self.booted_at_ms)
     }
 
     /// Returns when this life began, in ms since 1970.
@@ -279,7 +279,8 @@
         match self.ends_at_ms {
             Some(ends_at_ms) => {
                 let total_ms = (ends_at_ms - self.began_at_ms).max(1);
-                (100 * (now_ms - self.began_at_ms) / total_ms).min(100) as u8
+                // Calls that wait for each other may come with times out of order.
+                (100 * now_ms.saturating_sub(self.began_at_ms) / total_ms).min(100) as u8
             }
             None => 0,
         }
