--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -197,7 +197,7 @@
     /// left of them that a late answer is worth more than what a timely job gains meanwhile.
     fn defer_late(&mut self, now_ms: u64) {
         let is_deferred = |job: &JobState| {
-            now_ms > job.latest_start_ms() && job.waiting_percent() >= 0
+            now_ms > job.latest_start_ms() && job.waiting_percent() >= LATE_WORTH_PERCENT
         };
         let jobs = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
         let moved = jobs.filter(|job| job.waiting().is_late != is_deferred(job));
