--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -36,10 +36,6 @@
 /// The pause before an order to stop a run is sent again.
 const STOP_RETRY_MS: u64 = 100;
 
-/// What a late answer is worth to callers against a timely one, in percent, from the users'
-/// sheets.
-const LATE_WORTH_PERCENT: u64 = 20;
-
 /// The least share of its expected time that a task runs, in percent. Callers' estimates are
 /// off by up to 40%, and run times spread as much.
 const SHORTEST_RUN_PERCENT: u64 = 50;
@@ -193,19 +189,16 @@
         }
     }
 
-    /// Moves jobs that can't be in time any more behind those that can, unless so little is
-    /// left of them that a late answer is worth more than what a timely job gains meanwhile.
+    /// Moves jobs that can't be in time any more behind those that can.
     fn defer_late(&mut self, now_ms: u64) {
-        let is_deferred = |job: &JobState| {
-            now_ms > job.latest_start_ms() && job.waiting_percent() >= LATE_WORTH_PERCENT
-        };
-        let jobs = self.waiting.iter().filter_map(|waiting| self.job(waiting.job));
-        let moved = jobs.filter(|job| job.waiting().is_late != is_deferred(job));
-        let moved: Vec<JobId> = moved.map(JobState::id).collect();
-        for id in moved {
+        let on_time = self.waiting.iter().filter(|waiting| !waiting.is_late);
+        let jobs = on_time.filter_map(|waiting| self.job(waiting.job));
+        let late: Vec<JobId> =
+            jobs.filter(|job| now_ms > job.latest_start_ms()).map(JobState::id).collect();
+        for id in late {
             self.unqueue(id);
             if let Some(job) = self.job_mut(id) {
-                job.set_late(!job.waiting().is_late);
+                job.set_late();
             }
             self.enqueue(id);
         }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -207,8 +207,8 @@
         self.caller_deadline_ms
     }
 
-    pub(super) const fn set_late(&mut self, is_late: bool) {
-        self.is_late = is_late;
+    pub(super) const fn set_late(&mut self) {
+        self.is_late = true;
     }
 
     pub(super) fn waiting(&self) -> WaitingJob {
@@ -234,17 +234,11 @@
 
     /// Returns the work that waits, in thousandths of a core times ms.
     pub(super) fn waiting_work(&self) -> u64 {
-        self.waiting_entries().map(|task| self.work_of(task)).sum()
-    }
-
-    fn work_of(&self, task: &TaskEntry) -> u64 {
-        self.step(task.id).demand.cpu_milli * self.expected_ms[usize::from(task.id.step)]
-    }
-
-    /// Returns the share of the job's work that waits, in percent.
-    pub(super) fn waiting_percent(&self) -> u64 {
-        let all: u64 = self.tasks.iter().map(|task| self.work_of(task)).sum();
-        100 * self.waiting_work() / all.max(1)
+        let work = |task: &TaskEntry| {
+            let expected_ms = self.expected_ms[usize::from(task.id.step)];
+            self.step(task.id).demand.cpu_milli * expected_ms
+        };
+        self.waiting_entries().map(work).sum()
     }
 
     /// Returns whether all steps that `task` comes after are done.
