Owners that overlap don't start a task twice; late jobs of peers are not taken

The old one lent all tasks of a job to another zone, then heard of the new one and gave the job up; the new one had been there for longer than a lent part can live, and started the tasks at once. What the time is counted from is now the arrival of the job, not the beginning of the owner's term, and is 550 ms longer where the old owner may not have noticed that it lost the job (EarlierRuns::StillHeld).

Found by reading on the way: a message that the network held back for seconds started a job that its sender had given up. Heartbeats now carry a steady clock, by which a process tells how long a message was under way. A case on real processes holds it.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -7,14 +7,15 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 mod fleet;
 
-use std::{fs, time::Duration};
+use std::{cell::Cell, fs, net::SocketAddr, time::Duration};
 
-use async_std::task;
-use fleet::{Fleet, FleetSize, PREFIX, state, work};
+use async_std::{net::UdpSocket, task};
+use fleet::{Fleet, FleetSize, PEER_PORT, PREFIX, state, work};
 use futures::future::join_all;
 use ggb_http::Reply;
+use ggb_membership::{Node, Ownership};
 use ggb_placement::RunEnd;
-use ggb_standin::{FleetStoreMode, FleetWork};
+use ggb_standin::{FleetStoreMode, FleetWork, RunRecord};
 use http_types::{Method, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -164,6 +165,33 @@
         check_done(&fleet, 5, 2);
     }
 
+    a_job_that_a_peer_sent_long_ago_is_not_taken(65, fleet) {
+        let peer = Node {
+            name: "peer".to_owned(),
+            ip: "127.65.0.9".parse().unwrap(),
+            zone: "zone-0".parse().unwrap(),
+            cpu_milli: 1,
+        };
+        let sender = |clock_ms| Ownership::new(peer.clone(), 7, 0).sender(clock_ms);
+        let heartbeat = Ownership::new(peer.clone(), 7, 0).heartbeat(100_000);
+        let node = SocketAddr::new(fleet.nodes[0].ip, PEER_PORT);
+        let socket = UdpSocket::bind("127.65.0.9:0").await.unwrap();
+        socket.send_to(&serde_json::to_vec(&heartbeat).unwrap(), node).await.unwrap();
+        // Until the heartbeat is heard nothing is known of the peer's clock.
+        let late = Cell::new(0);
+        fleet.until("a late job is not taken", || async {
+            late.set(late.get() + 1);
+            let answer = fleet.offer_as(&sender(90_000), node, late.get()).await;
+            answer == json!({ "answered": "not_taken" })
+        }).await;
+        fleet.until("what was just sent is done", || async {
+            fleet.offer_as(&sender(10_000_000), node, 0xbbbb).await == json!({ "answered": "completed" })
+        }).await;
+        let late = format!("{:016x}", late.get());
+        let of_late = |record: &RunRecord| record.run.task.job.as_str() == late;
+        assert!(!fleet.records().iter().any(of_late));
+    }
+
     a_request_that_a_node_can_not_wait_for_is_named_in_its_logs(64, fleet) {
         let settings = fs::read_to_string(&fleet.nodes[0].settings).unwrap();
         fs::write(&fleet.nodes[0].settings, settings.replace("graceS = 6", "graceS = 3")).unwrap();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -30,14 +30,16 @@
 //! ```
 
 mod ownership;
+mod peer_clock;
 mod rendezvous;
 mod view;
 
 pub use crate::{
     ownership::{
         HEARTBEAT_MS, HeardClaim, Heartbeat, Node, OWNER_SILENT_MS, Ownership, OwnershipChange,
-        PeerState,
+        PeerState, Sender,
     },
+    peer_clock::PeerClock,
     rendezvous::rank_by_rendezvous,
     view::{Role, View, Vm, VmState},
 };
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -10,6 +10,8 @@
 use ggb_model::Zone;
 use serde::{Deserialize, Serialize};
 
+use crate::PeerClock;
+
 /// The interval at which VMs of one zone tell each other that they live.
 pub const HEARTBEAT_MS: u64 = 100;
 
@@ -70,6 +72,10 @@
 pub struct Heartbeat {
     /// The sender.
     pub node: Node,
+    /// Tells lives of the sender apart.
+    pub life: u64,
+    /// The sender's steady clock.
+    pub clock_ms: u64,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// The token of its claim to the targets of its zone, if it has one.
@@ -84,6 +90,18 @@
     pub queued_tasks: u64,
 }
 
+/// Who sent a message, and when.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Sender {
+    /// The name of the VM.
+    pub name: String,
+    /// Tells its lives apart.
+    pub life: u64,
+    /// Its steady clock.
+    pub clock_ms: u64,
+}
+
 /// A claim of another VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -103,6 +121,7 @@
     pub heartbeat: Heartbeat,
     /// When it was heard.
     pub heard_at_ms: u64,
+    clock: PeerClock,
 }
 
 impl PeerState {
@@ -140,6 +159,7 @@
 #[derive(Debug)]
 pub struct Ownership {
     own: Node,
+    life: u64,
     role: Role,
     leaving: bool,
     started_at_ms: u64,
@@ -153,10 +173,12 @@
 }
 
 impl Ownership {
-    /// Returns the state of a VM that has just started.
-    pub const fn new(own: Node, now_ms: u64) -> Self {
+    /// Returns the state of a VM that has just started; no two lives of a VM have the same
+    /// number.
+    pub const fn new(own: Node, life: u64, now_ms: u64) -> Self {
         Ownership {
             own,
+            life,
             role: Role::Follower,
             leaving: false,
             started_at_ms: now_ms,
@@ -215,11 +237,31 @@
         self.highest_token = tokens.fold(self.highest_token, u64::max);
         let name = &heartbeat.node.name;
         match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
-            Ok(at) => self.peers[at] = PeerState { heartbeat, heard_at_ms: now_ms },
-            Err(at) => self.peers.insert(at, PeerState { heartbeat, heard_at_ms: now_ms }),
+            Ok(at) => {
+                let mut clock = self.peers[at].clock;
+                clock.heard(heartbeat.life, heartbeat.clock_ms, now_ms);
+                self.peers[at] = PeerState { heartbeat, heard_at_ms: now_ms, clock };
+            }
+            Err(at) => {
+                let clock = PeerClock::new(heartbeat.life, heartbeat.clock_ms, now_ms);
+                self.peers.insert(at, PeerState { heartbeat, heard_at_ms: now_ms, clock });
+            }
         }
     }
 
+    /// Returns how much longer a message of a peer took than its fastest heartbeat; nothing if
+    /// that life of the peer was not heard yet.
+    pub fn delay_ms(&self, sender: &Sender, now_ms: u64) -> Option<u64> {
+        let name = |peer: &PeerState| peer.heartbeat.node.name.cmp(&sender.name);
+        let at = self.peers.binary_search_by(name).ok()?;
+        self.peers[at].clock.delay_ms(sender.life, sender.clock_ms, now_ms)
+    }
+
+    /// Returns what a message of this VM says of its sender.
+    pub fn sender(&self, now_ms: u64) -> Sender {
+        Sender { name: self.own.name.clone(), life: self.life, clock_ms: now_ms }
+    }
+
     /// Returns the peer with the highest claim to the targets of `zone`.
     pub fn owner_of(&self, zone: &Zone) -> Option<&PeerState> {
         let of_zone = self.peers.iter().filter(|peer| peer.heartbeat.node.zone == *zone);
@@ -248,6 +290,8 @@
         });
         Heartbeat {
             node: self.own.clone(),
+            life: self.life,
+            clock_ms: now_ms,
             leaving: self.leaving,
             claim: self.claim(),
             heard: heard.collect(),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -107,7 +107,7 @@
             zone: settings.zone.clone(),
             cpu_milli: settings.cpu_milli,
         };
-        let ownership = Ownership::new(own, clock.now_ms());
+        let ownership = Ownership::new(own, rand::random(), clock.now_ms());
         let shared = Arc::new(Shared::new(settings, clock, http, ownership));
         shared.add_seeds();
         let failed = |part, addr| move || NodeError { part, addr };
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -61,6 +61,8 @@
     phase: JobPhase,
     /// When its caller sent it.
     sent_at_ms: u64,
+    /// When this dispatcher first heard of it.
+    arrived_at_ms: u64,
     /// When the last of its callers stops waiting.
     caller_deadline_ms: u64,
     objective_ms: u64,
@@ -94,6 +96,7 @@
             .collect();
         let mut job = JobState {
             sent_at_ms: submission.sent_at_ms(now_ms),
+            arrived_at_ms: now_ms,
             caller_deadline_ms: submission.caller_deadline_ms(now_ms),
             has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
@@ -171,6 +174,10 @@
         self.objective_ms
     }
 
+    pub(super) const fn arrived_at_ms(&self) -> u64 {
+        self.arrived_at_ms
+    }
+
     pub(super) const fn sent_at_ms(&self) -> u64 {
         self.sent_at_ms
     }
@@ -345,7 +352,7 @@
     /// Returns where tasks of the job may run that are not known to be done.
     pub(super) fn earlier_runs(&self) -> EarlierRuns {
         match self.has_lent() {
-            true => EarlierRuns::AnyZone,
+            true => self.submission.earlier_runs.max(EarlierRuns::AnyZone),
             false if self.has_started => self.submission.earlier_runs.max(EarlierRuns::OwnZone),
             false => EarlierRuns::None,
         }
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -109,7 +109,7 @@
         let submission = job.submission();
         let may_lend = job.phase() == JobPhase::Open
             && submission.part.is_none()
-            && submission.earlier_runs != EarlierRuns::AnyZone;
+            && submission.earlier_runs < EarlierRuns::AnyZone;
         if !may_lend {
             return;
         }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -13,6 +13,10 @@
     dispatcher::job_state::{JobPhase, JobState},
 };
 
+/// How long a dispatcher that has lost contact with the process that asks for a job keeps
+/// it: it holds an answer back for 400 ms, and gives the job up 150 ms later.
+const STILL_HELD_MS: u64 = 550;
+
 impl Dispatcher {
     /// Starts waiting tasks where there is room.
     pub(super) fn place(&mut self, now_ms: u64) {
@@ -76,7 +80,10 @@
     fn is_settled(&self, job: &JobState, now_ms: u64) -> bool {
         match job.submission().earlier_runs {
             EarlierRuns::None => true,
-            EarlierRuns::AnyZone => now_ms >= self.since_ms + LENT_GONE_MS,
+            // Dispatchers that are cut off from each other overlap, so that the one before may
+            // have lent tasks until it gave the job up.
+            EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + LENT_GONE_MS,
+            EarlierRuns::StillHeld => now_ms >= job.arrived_at_ms() + STILL_HELD_MS + LENT_GONE_MS,
             EarlierRuns::OwnZone => {
                 let service = &job.submission().queue.service;
                 let of_service = |target: &&Target| target.info().service == *service;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -262,7 +262,7 @@
     /// owner under another token, tasks of it may run anywhere.
     pub fn received_under(mut self, token: u64) -> Self {
         if self.held_under.is_some_and(|held_under| held_under != token) {
-            self.earlier_runs = EarlierRuns::AnyZone;
+            self.earlier_runs = EarlierRuns::StillHeld;
         }
         self
     }
@@ -279,6 +279,9 @@
     OwnZone,
     /// On targets of any zone.
     AnyZone,
+    /// On targets of any zone, and the dispatcher that had the job may start more of it until
+    /// it notices that nobody asks any more.
+    StillHeld,
 }
 
 /// Why a job was refused before any of its tasks was started.
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -43,7 +43,7 @@
     /// Notes that the owner may or may not have taken the job.
     pub fn lost(&mut self) {
         self.submission.held_under = None;
-        self.submission.earlier_runs = EarlierRuns::AnyZone;
+        self.submission.earlier_runs = EarlierRuns::StillHeld;
     }
 
     /// Returns whether no task of the job can have been started.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -154,6 +154,8 @@
     SettingsInvalid = 684,
     /// A message of a peer can't be read and is left out.
     PeerMessageInvalid = 685,
+    /// A message of a peer came after its sender had given up; nothing was done.
+    PeerMessageLate = 686,
     /// Log lines were left out to keep their volume bounded; the field says how many.
     LinesDropped = 690,
 }
