--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,8 +19,10 @@
 mod dispatcher;
 mod estimate;
 mod job;
+mod listing;
 mod offer;
 mod target;
+mod target_info;
 
 pub use crate::{
     capacity::Capacity,
@@ -30,9 +32,8 @@
         BatchJob, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
         RunEnd, StepSpec, Submission, TaskId,
     },
+    listing::{ListedEnd, ListedRun, Listing},
     offer::Offer,
-    target::{
-        EndedRun, LEASE_GONE_MS, LEASE_MS, ListedEnd, ListedRun, Listing, RunPhase, START_VALID_MS,
-        Target, TargetInfo, TargetRun,
-    },
+    target::{EndedRun, LEASE_GONE_MS, LEASE_MS, RunPhase, START_VALID_MS, Target, TargetRun},
+    target_info::TargetInfo,
 };
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -1,11 +1,6 @@
 //! What a dispatcher knows of one target.
 
-use std::{net::SocketAddr, sync::Arc};
-
-use ggb_model::Zone;
-use serde::{Deserialize, Serialize};
-
-use crate::{Capacity, Run, RunEnd, StepSpec, TaskId};
+use crate::{Capacity, Listing, Run, RunEnd, TargetInfo, TaskId};
 
 /// The longest lease that a target grants.
 pub const LEASE_MS: u64 = 1_000;
@@ -36,77 +31,6 @@
 /// processes pass their jobs on within a second.
 const END_KEPT_MS: u64 = 1_500;
 
-/// What a target says of itself in the list of targets.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct TargetInfo {
-    /// The name of this life of the target.
-    pub id: Arc<str>,
-    /// When this life began, in ms since 1970; tells lives under one name apart.
-    pub born_unix_ms: u64,
-    /// The service whose tasks it runs.
-    pub service: Arc<str>,
-    /// The address that takes orders.
-    pub addr: SocketAddr,
-    /// The availability zone.
-    pub zone: Zone,
-    /// What it has in all.
-    pub capacity: Capacity,
-    /// Its kind and its rack.
-    pub labels: Vec<String>,
-    /// Whether it is about to leave.
-    pub draining: bool,
-}
-
-impl TargetInfo {
-    /// Returns whether it has a label, if one is asked for.
-    pub fn has_label(&self, label: Option<&str>) -> bool {
-        label.is_none_or(|label| self.labels.iter().any(|own| own == label))
-    }
-
-    /// Returns whether a task of `step` may run there and fits when nothing else does.
-    pub fn can_hold(&self, service: &str, step: &StepSpec) -> bool {
-        *self.service == *service
-            && self.capacity.fits(&step.demand)
-            && self.has_label(step.required_label.as_deref())
-    }
-}
-
-/// What a target lists: what runs there and what has ended.
-#[derive(Clone, Debug)]
-pub struct Listing {
-    /// When this life of the target began, in ms since 1970.
-    pub born_unix_ms: u64,
-    /// The target's clock when it answered.
-    pub clock_ms: u64,
-    /// What runs.
-    pub running: Vec<ListedRun>,
-    /// What has ended and is not acknowledged.
-    pub finished: Vec<ListedEnd>,
-}
-
-/// A run that a target lists as running.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ListedRun {
-    /// The run.
-    pub run: Run,
-    /// How much of its work is done.
-    pub percent: u8,
-    /// The processor time that it uses, in thousandths of a core, if the target says so.
-    pub used_cpu_milli: u64,
-}
-
-/// A run that a target lists as ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ListedEnd {
-    /// The number of the end in this life of the target.
-    pub number: u64,
-    /// The run.
-    pub run: Run,
-    /// How it ended.
-    pub end: RunEnd,
-}
-
 /// How far the start of a run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
