Wait for runs of earlier owners that are being stopped

A stop takes up to 50 ms. A job that arrived in this interval only looked for runs that were not being stopped yet, took its tasks for never started and started run 1 again on another target, while the first run went on.

- A run that is being stopped is assigned to the job that arrives, and its task starts again only after the run has ended, with the next number (job_that_arrives_while_its_orphaned_run_is_stopped_waits_for_the_end, failed before).
- Found while looking: a new job started on the first target that had sent a listing, although a run of an earlier attempt could be on a target that had not.
It now waits for the listings of all targets that answer; a target that does not answer a prompt request doesn't delay it (new_job_waits_for_the_listings_of_all_targets, part_of_another_zone_is_refused_while_listings_ are_missing, failed before).
- An entry process that was paused checks that its caller is still connected before it submits the job again.

The shapes of simulated jobs and the state of a run have modules of their own now; moved only.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -186,7 +186,7 @@
     received_at_ms: u64,
     deadline_ms: u64,
 ) -> RequestOutcome {
-    let answer = route_job(shared, submission, received_at_ms);
+    let answer = route_job(shared, submission, connection.as_ref(), received_at_ms);
     let answer = timeout(Duration::from_millis(deadline_ms), answer);
     match ClientConnection::run_until_closed(connection.as_ref(), answer).await {
         Some(Ok(answer)) => RequestOutcome::Answered(answer),
@@ -214,10 +214,20 @@
 }
 
 /// Sends a job to the owner of the zone, and to the next owner if that one stops or can't be
-/// reached, until the job has an answer.
-async fn route_job(shared: &Shared, submission: Submission, received_at_ms: u64) -> JobAnswer {
+/// reached, until the job has an answer or the caller has disconnected.
+async fn route_job(
+    shared: &Shared,
+    submission: Submission,
+    connection: Option<&ClientConnection>,
+    received_at_ms: u64,
+) -> JobAnswer {
     let mut routed_job = RoutedJob::new(submission);
     loop {
+        // A process that was paused may not have been told yet. Its owner may have stopped the job,
+        // and the caller sent it again, so that another submission would start it a second time.
+        if connection.is_some_and(ClientConnection::is_closed) {
+            return JobAnswer::Unknown;
+        }
         let waited_ms = shared.now_ms() - received_at_ms;
         if let Some((ip, location)) = find_owner(shared) {
             let submission = routed_job.submission_after(waited_ms);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -20,7 +20,7 @@
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
 
-use crate::{lending::offload_part, shared::Shared};
+use crate::{lending::offload_part, process::CONNECT_TIMEOUT_MS, shared::Shared};
 
 /// Maximum time for which a target delays a listing until a run ends; well within a lease, so
 /// that the lease survives one lost message.
@@ -411,8 +411,10 @@
                 ("unhealthy", false)
             }
             Err(_) => {
+                let timeout_ms = CONNECT_TIMEOUT_MS + wait_ms + REQUEST_TIMEOUT_MS;
                 self.update(|dispatcher, now_ms| {
-                    dispatcher.set_target_reachable(target, false, now_ms);
+                    let took_ms = now_ms - requested_at_ms;
+                    dispatcher.record_listing_failure(target, took_ms, timeout_ms, now_ms);
                 });
                 ("unanswered", false)
             }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -29,7 +29,7 @@
 };
 
 /// Timeout for opening a connection, which usually takes 3 ms within a region.
-const CONNECT_TIMEOUT_MS: u64 = 150;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 150;
 
 /// Maximum size of a response from a target, the store or a peer.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -293,6 +293,16 @@
         }
     }
 
+    /// Records that a target did not answer a listing request, which failed after `took_ms` of at
+    /// most `timeout_ms`.
+    pub fn record_listing_failure(&mut self, id: &str, took_ms: u64, timeout_ms: u64, now_ms: u64) {
+        if let Some(target) = self.target_mut(id) {
+            target.record_listing_failure(took_ms, timeout_ms);
+        }
+        self.set_target_reachable(id, false, now_ms);
+        self.place_tasks(now_ms);
+    }
+
     /// Returns whether any job is left, so that ticks must continue at a short interval.
     pub fn has_jobs(&self) -> bool {
         !self.jobs.is_empty()
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -160,6 +160,10 @@
                 false => (RefusalReason::NoTargets, MIN_RETRY_AFTER_MS),
             });
         }
+        // A part does not wait, and an earlier owner may have started its tasks.
+        if is_part && !self.are_zone_runs_known(service, now_ms) {
+            return Err((RefusalReason::Overloaded, MIN_RETRY_AFTER_MS));
+        }
         if self.has_capacity_for(job, &targets, now_ms) {
             return Ok(0);
         }
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -5,8 +5,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase,
-    dispatcher::job_state::{JobPhase, TaskState},
+    Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase, TargetRun,
+    dispatcher::job_state::{JobPhase, TaskEntry, TaskState},
 };
 
 impl Dispatcher {
@@ -153,8 +153,12 @@
                     let target_id = Arc::clone(&self.targets[target_index].info().id);
                     self.apply_recent_end(run, &target_id, end, now_ms);
                 }
-                if let Some(run) = self.targets[target_index].latest_orphan(*task) {
-                    self.adopt_run(target_index, run, now_ms);
+                match self.targets[target_index].latest_unassigned_run(*task) {
+                    Some(TargetRun { run, phase: RunPhase::Orphaned, .. }) => {
+                        self.adopt_run(target_index, run, now_ms);
+                    }
+                    Some(TargetRun { run, .. }) => self.await_stopping_run(target_index, run),
+                    None => {}
                 }
             }
         }
@@ -174,6 +178,20 @@
         }
     }
 
+    /// Assigns a run that is being stopped to its job, so that the task starts again only after the
+    /// run has ended.
+    fn await_stopping_run(&mut self, target_index: usize, run: Run) {
+        let target_id = Arc::clone(&self.targets[target_index].info().id);
+        let Some(job) = self.job_mut(run.task.job) else { return };
+        let waiting =
+            |task: &TaskEntry| task.id == run.task && matches!(task.state, TaskState::Waiting);
+        let Some(task_index) = job.tasks.iter().position(waiting) else { return };
+        job.assign(task_index, target_id, run);
+        if job.waiting_tasks() == 0 {
+            self.dequeue(run.task.job);
+        }
+    }
+
     fn adopt_run(&mut self, target_index: usize, run: Run, now_ms: u64) {
         let target_id = Arc::clone(&self.targets[target_index].info().id);
         let Some(job) = self.job_mut(run.task.job) else { return };
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -84,23 +84,39 @@
     /// has ended.
     fn are_earlier_runs_known(&self, job: &JobState, now_ms: u64) -> bool {
         match job.submission().earlier_runs {
-            EarlierRuns::None => true,
+            // The caller may have sent the job before, to the earlier owner of this zone, which may
+            // be too slow to notice that the caller disconnected.
+            EarlierRuns::None => self.are_zone_runs_known(&job.submission().queue.service, now_ms),
+            EarlierRuns::OwnZone => {
+                let mut targets = self.targets_of(&job.submission().queue.service).peekable();
+                now_ms >= self.took_over_at_ms + LEASE_EXPIRY_MS
+                    || (targets.peek().is_some() && targets.all(Target::has_current_listing))
+            }
             // Dispatchers that cannot reach each other may be active at the same time, so that the
             // earlier one may have offloaded tasks until it released the job.
             EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + PART_EXPIRY_MS,
             EarlierRuns::StillHeld => {
                 now_ms >= job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + PART_EXPIRY_MS
             }
-            EarlierRuns::OwnZone => {
-                let service = &job.submission().queue.service;
-                let runs_service = |target: &&Target| target.info().service == *service;
-                let mut targets = self.targets.iter().filter(runs_service).peekable();
-                now_ms >= self.took_over_at_ms + LEASE_EXPIRY_MS
-                    || (targets.peek().is_some() && targets.all(Target::has_current_listing))
-            }
         }
     }
 
+    /// Returns whether the runs of a service that earlier owners of this zone started are known: all
+    /// targets that answer have sent a listing, or their leases must have expired.
+    ///
+    /// A silent target doesn't count, since most such targets have crashed. Waiting for their leases
+    /// after each change of the owner would delay all new jobs by a second.
+    pub(super) fn are_zone_runs_known(&self, service: &str, now_ms: u64) -> bool {
+        let mut targets = self.targets_of(service).peekable();
+        now_ms >= self.took_over_at_ms + LEASE_EXPIRY_MS
+            || (targets.peek().is_some()
+                && targets.all(|target| target.has_current_listing() || target.is_silent()))
+    }
+
+    fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(move |target| *target.info().service == *service)
+    }
+
     /// Returns the target that fits the task with the least CPU time left over. Targets in the rack
     /// of the task's data come first, and the target where the task failed last comes last.
     fn choose_target(
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -23,6 +23,7 @@
 mod routed_job;
 mod target;
 mod target_info;
+mod target_run;
 
 pub use crate::{
     capacity::Capacity,
@@ -34,9 +35,7 @@
     },
     listing::{ListedEnd, ListedRun, Listing},
     routed_job::RoutedJob,
-    target::{
-        EndedRun, LEASE_EXPIRY_MS, MAX_LEASE_MS, RunPhase, START_REQUEST_VALIDITY_MS, Target,
-        TargetRun,
-    },
+    target::{LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
     target_info::TargetInfo,
+    target_run::{EndedRun, RunPhase, TargetRun},
 };
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -1,6 +1,6 @@
 //! State that a dispatcher keeps for each target.
 
-use crate::{Capacity, Listing, Run, RunEnd, TargetInfo, TaskId};
+use crate::{Capacity, EndedRun, Listing, Run, RunEnd, RunPhase, TargetInfo, TargetRun, TaskId};
 
 /// Maximum lease that a target grants.
 pub const MAX_LEASE_MS: u64 = 1_000;
@@ -26,6 +26,9 @@
 /// should have fit.
 const NO_CAPACITY_PAUSE_MS: u64 = 30;
 
+/// Maximum time after a timeout at which a process that is not overloaded handles it.
+const MAX_TIMER_DELAY_MS: u64 = 50;
+
 /// Maximum number of ends in a listing; a listing with this many may omit later ends.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -33,74 +36,6 @@
 /// processes resubmit their jobs to a new owner within a second.
 const END_RETENTION_MS: u64 = 1_500;
 
-/// Phase of a run, from its start request to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunPhase {
-    /// The start request is in flight.
-    Ordered,
-    /// The start request was not answered; the target starts the run before the request expires, or
-    /// never.
-    Unanswered,
-    /// The target has started the run.
-    Running,
-    /// The run is being stopped.
-    Stopping,
-    /// The run was started by an earlier dispatcher, and no job that this dispatcher knows needs
-    /// it.
-    Orphaned,
-}
-
-/// A run that ended: its end was listed, the target no longer lists it, or the lease of the target
-/// expired.
-#[derive(Clone, Copy, Debug)]
-pub struct EndedRun {
-    /// Task and number of the run.
-    pub run: Run,
-    /// Reason for the end.
-    pub end: RunEnd,
-    /// State of the run before it ended; `None` if the run was not tracked on this target.
-    pub target_run: Option<TargetRun>,
-}
-
-impl EndedRun {
-    const fn tracked(target_run: TargetRun, end: RunEnd) -> Self {
-        EndedRun { run: target_run.run, end, target_run: Some(target_run) }
-    }
-}
-
-/// A run that occupies capacity on a target.
-#[derive(Clone, Copy, Debug)]
-pub struct TargetRun {
-    /// Task and number of the run.
-    pub run: Run,
-    /// Capacity that is reserved for the run.
-    pub demand: Capacity,
-    /// Phase of the run; it began at `phase_since_ms`.
-    pub phase: RunPhase,
-    /// Time at which the phase began.
-    pub phase_since_ms: u64,
-    /// `true` once the target has confirmed that it started the run. Before that the start request
-    /// may still be in flight.
-    pub is_confirmed: bool,
-    /// Time at which the last stop request was sent; 0 if there was none.
-    pub last_stop_sent_at_ms: u64,
-    /// Time at which the start request was sent, or at which an orphaned run was first listed.
-    pub start_sent_at_ms: u64,
-    /// Target clock time after which the target rejects the start request.
-    pub valid_until_clock_ms: u64,
-    /// Value of [`Target::token_offset`] when the start request was sent. The request carried the
-    /// owner's token plus this number.
-    pub token_offset: u64,
-    /// Expected run time, in ms.
-    pub expected_ms: u64,
-    /// Progress as last listed.
-    pub progress_percent: u8,
-    /// Time of the first listing with this progress.
-    pub last_progress_at_ms: u64,
-    /// Time of the last listing that contained the run.
-    pub last_listed_at_ms: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct RecentEnd {
     run: Run,
@@ -108,13 +43,6 @@
     listed_at_ms: u64,
 }
 
-impl TargetRun {
-    /// Returns the time by which the run should have ended and been listed, including `margin_ms`.
-    pub const fn overdue_at_ms(&self, margin_ms: u64) -> u64 {
-        self.start_sent_at_ms + self.expected_ms + margin_ms
-    }
-}
-
 /// A target with its runs and its health state.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -142,6 +70,8 @@
     ejections: u32,
     ejected_until_ms: u64,
     unreachable: bool,
+    /// Whether a listing request failed although this process was not delayed itself.
+    silent: bool,
     removed: bool,
 }
 
@@ -173,6 +103,7 @@
             ejections: 0,
             ejected_until_ms: 0,
             unreachable: false,
+            silent: false,
             removed: false,
         }
     }
@@ -209,6 +140,20 @@
         self.clock.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
     }
 
+    /// Records that a listing request failed after `took_ms`, where `timeout_ms` is its limit.
+    ///
+    /// A request that fails later than its limit shows that this process is slow, not that the
+    /// target is silent.
+    pub const fn record_listing_failure(&mut self, took_ms: u64, timeout_ms: u64) {
+        self.silent |= took_ms <= timeout_ms + MAX_TIMER_DELAY_MS;
+    }
+
+    /// Returns whether the target has never sent a listing and did not answer a request for one, so
+    /// that it most likely runs nothing.
+    pub const fn is_silent(&self) -> bool {
+        self.silent && self.clock.is_none()
+    }
+
     /// Returns the number of restarts of the target that this process has seen, which is added to
     /// the owner's token in requests to the current incarnation.
     ///
@@ -417,10 +362,14 @@
         }
     }
 
-    /// Returns the orphaned run of `task` with the highest number.
-    pub fn latest_orphan(&self, task: TaskId) -> Option<Run> {
-        let orphans = self.runs.iter().filter(|target_run| target_run.phase == RunPhase::Orphaned);
-        orphans.map(|target_run| target_run.run).filter(|run| run.task == task).max()
+    /// Returns the run of `task` with the highest number that an earlier dispatcher started, or that
+    /// is being stopped because no job needed it.
+    pub fn latest_unassigned_run(&self, task: TaskId) -> Option<TargetRun> {
+        let is_unassigned = |target_run: &&TargetRun| {
+            target_run.run.task == task
+                && matches!(target_run.phase, RunPhase::Orphaned | RunPhase::Stopping)
+        };
+        self.runs.iter().filter(is_unassigned).max_by_key(|target_run| target_run.run).copied()
     }
 
     /// Returns the latest run of `task` whose end was listed recently, and the reason for the end.
--- /dev/null
+++ b/crates/placement/src/target_run.rs
@@ -0,0 +1,78 @@
+//! A run on a target, from its start request to its end.
+
+use crate::{Capacity, Run, RunEnd};
+
+/// Phase of a run, from its start request to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The start request is in flight.
+    Ordered,
+    /// The start request was not answered; the target starts the run before the request expires, or
+    /// never.
+    Unanswered,
+    /// The target has started the run.
+    Running,
+    /// The run is being stopped.
+    Stopping,
+    /// The run was started by an earlier dispatcher, and no job that this dispatcher knows needs
+    /// it.
+    Orphaned,
+}
+
+/// A run that ended: its end was listed, the target no longer lists it, or the lease of the target
+/// expired.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedRun {
+    /// Task and number of the run.
+    pub run: Run,
+    /// Reason for the end.
+    pub end: RunEnd,
+    /// State of the run before it ended; `None` if the run was not tracked on this target.
+    pub target_run: Option<TargetRun>,
+}
+
+impl EndedRun {
+    pub(crate) const fn tracked(target_run: TargetRun, end: RunEnd) -> Self {
+        EndedRun { run: target_run.run, end, target_run: Some(target_run) }
+    }
+}
+
+/// A run that occupies capacity on a target.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetRun {
+    /// Task and number of the run.
+    pub run: Run,
+    /// Capacity that is reserved for the run.
+    pub demand: Capacity,
+    /// Phase of the run; it began at `phase_since_ms`.
+    pub phase: RunPhase,
+    /// Time at which the phase began.
+    pub phase_since_ms: u64,
+    /// `true` once the target has confirmed that it started the run. Before that the start request
+    /// may still be in flight.
+    pub is_confirmed: bool,
+    /// Time at which the last stop request was sent; 0 if there was none.
+    pub last_stop_sent_at_ms: u64,
+    /// Time at which the start request was sent, or at which an orphaned run was first listed.
+    pub start_sent_at_ms: u64,
+    /// Target clock time after which the target rejects the start request.
+    pub valid_until_clock_ms: u64,
+    /// Value of [`crate::Target::token_offset`] when the start request was sent. The request carried the
+    /// owner's token plus this number.
+    pub token_offset: u64,
+    /// Expected run time, in ms.
+    pub expected_ms: u64,
+    /// Progress as last listed.
+    pub progress_percent: u8,
+    /// Time of the first listing with this progress.
+    pub last_progress_at_ms: u64,
+    /// Time of the last listing that contained the run.
+    pub last_listed_at_ms: u64,
+}
+
+impl TargetRun {
+    /// Returns the time by which the run should have ended and been listed, including `margin_ms`.
+    pub const fn overdue_at_ms(&self, margin_ms: u64) -> u64 {
+        self.start_sent_at_ms + self.expected_ms + margin_ms
+    }
+}
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -7,7 +7,10 @@
 mod simulation;
 
 use ggb_standin::SimulatedTargetMode;
-use simulation::{CONFIRM, Faults, JobShape, QUOTE, SLOT_CHECK, Simulation};
+use simulation::{
+    Faults, Simulation,
+    shapes::{CONFIRM, JobShape, QUOTE, SLOT_CHECK},
+};
 
 /// Submits a job about every 20 ms for `duration_ms`; of 1,000 jobs `failing_permille` fail on
 /// every target.
@@ -124,6 +127,39 @@
     }
 });
 
+/// A job with the longest tasks, which outlast the time until a disconnected caller returns.
+const LONG_QUOTE: JobShape = JobShape { work_ms: 2_500, count: 2, ..QUOTE };
+
+/// Slows the owner of zone 0 down by `lag_ms`, while the entry process of callers whose tasks run
+/// is lost, and has them return in `zone`. Another owner takes zone 0 over after `takeover_ms`,
+/// slow itself.
+fn return_from_slow_owner(sim: &mut Simulation, lag_ms: u64, takeover_ms: u64, zone: usize) {
+    let callers: Vec<usize> = (0..4).map(|_| sim.submit(0, &LONG_QUOTE)).collect();
+    sim.run_until(sim.now_ms + 20);
+    let next_lag_ms = sim.random_below(300);
+    sim.slow_down_owner(0, lag_ms, takeover_ms, next_lag_ms);
+    for caller_index in callers {
+        sim.lose_entry(caller_index, zone);
+        let pause_ms = sim.random_below(20);
+        sim.run_until(sim.now_ms + pause_ms);
+    }
+    submit_random_jobs(sim, 3_000, 0);
+}
+
+// The owner of zone 0 is too slow to notice in time that callers are gone, and keeps their runs
+// alive. They return to the next owner, which has not listed all targets yet.
+case!(callers_return_to_the_successor_of_a_slow_owner, 0..60, |sim| {
+    let lag_ms = sim.random_below(800);
+    let takeover_ms = 1_000 + sim.random_below(400);
+    return_from_slow_owner(sim, lag_ms, takeover_ms, 0);
+});
+
+// As above, but the callers return to another zone, whose owner learns nothing of the runs.
+case!(callers_of_a_slow_owner_return_in_another_zone, 0..60, |sim| {
+    let lag_ms = sim.random_below(800);
+    return_from_slow_owner(sim, lag_ms, 2_500, 1);
+});
+
 case!(all_faults_combined, 0..200, |sim| {
     sim.faults = Faults { lost: 15, late: 15, unanswered: 15 };
     for _ in 0..12 {
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -3,7 +3,10 @@
 #[allow(dead_code, reason = "the other test of this crate uses the rest")]
 mod simulation;
 
-use simulation::{CONFIRM, JobShape, SLOT_CHECK, Simulation};
+use simulation::{
+    Simulation,
+    shapes::{CONFIRM, JobShape, SLOT_CHECK},
+};
 
 /// Submits jobs of `shape` to `zone` at a constant rate for `duration_ms`.
 fn submit_jobs(
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -227,8 +227,10 @@
             }),
         }
         self.schedule_on_owner(owner_index, wait_ms + REQUEST_TIMEOUT_MS, move |sim| {
-            let now_ms = sim.now_ms;
-            sim.owners[owner_index].dispatcher.set_target_reachable(&target_id, false, now_ms);
+            let took_ms = sim.now_ms - now_ms;
+            let dispatcher = &mut sim.owners[owner_index].dispatcher;
+            let timeout_ms = wait_ms + REQUEST_TIMEOUT_MS;
+            dispatcher.record_listing_failure(&target_id, took_ms, timeout_ms, now_ms + took_ms);
             sim.execute_actions(owner_index);
             if repeat {
                 sim.poll_target(owner_index, target_index, 25);
@@ -279,8 +281,8 @@
         let listing = simulated.list(now_ms);
         self.schedule_on_owner(owner_index, INTRA_ZONE_LATENCY_MS, move |sim| {
             sim.apply_listing(owner_index, target_index, &listing, requested_at_ms);
-            if repeat {
-                sim.poll_target(owner_index, target_index, 0);
+            if repeat && sim.owners[owner_index].is_alive {
+                sim.request_listing(owner_index, target_index, LISTING_WAIT_MS, true);
             }
         });
     }
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod links;
+pub mod shapes;
 
 use std::{cmp::Reverse, collections::BinaryHeap, ops::Range, sync::Arc};
 
@@ -15,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use links::Faults;
+use shapes::JobShape;
 
 /// Time after which a caller stops waiting.
 const DEADLINE_MS: u64 = 1_500;
@@ -31,6 +33,9 @@
 /// Time from the loss of an owner to the takeover by another.
 const TAKEOVER_DELAY_MS: u64 = 500;
 
+/// Time after which an owner replies to an entry process that a job has no answer yet.
+const MAX_REPLY_DELAY_MS: u64 = 400;
+
 /// Time after which a caller resubmits a job without an answer.
 const RESEND_DELAY_MS: u64 = 1_300;
 
@@ -81,6 +86,8 @@
     next_request: u64,
     is_alive: bool,
     frozen_until_ms: u64,
+    /// Delay of everything that the process does, while it has too little CPU time.
+    lag_ms: u64,
 }
 
 /// A simulated target and its zone.
@@ -212,6 +219,11 @@
     }
 
     fn take_over(&mut self, zone: usize) {
+        self.take_over_with_lag(zone, 0);
+    }
+
+    /// Starts an owner of a zone that lags by `lag_ms`. Returns its index.
+    fn take_over_with_lag(&mut self, zone: usize, lag_ms: u64) -> usize {
         let owner_index = self.owners.len();
         let mut dispatcher =
             Dispatcher::new(RunTimes::default(), owner_index as u64 * 10_000, self.now_ms);
@@ -229,12 +241,14 @@
             next_request: 0,
             is_alive: true,
             frozen_until_ms: 0,
+            lag_ms,
         });
         self.current_owners[zone] = Some(owner_index);
         for target_index in targets {
             self.poll_target(owner_index, target_index, 0);
         }
         self.tick(owner_index);
+        owner_index
     }
 
     fn tick(&mut self, owner_index: usize) {
@@ -247,12 +261,22 @@
     }
 
     /// Schedules `event` for an owner. The event is dropped if the owner is no longer alive, and
-    /// delayed while the owner is frozen.
+    /// delayed while the owner is frozen or lags.
     fn schedule_on_owner(
         &mut self,
         owner_index: usize,
         delay_ms: u64,
         event: impl FnOnce(&mut Simulation) + 'static,
+    ) {
+        let lag_ms = self.owners[owner_index].lag_ms;
+        self.schedule_undelayed_on_owner(owner_index, delay_ms + lag_ms, event);
+    }
+
+    fn schedule_undelayed_on_owner(
+        &mut self,
+        owner_index: usize,
+        delay_ms: u64,
+        event: impl FnOnce(&mut Simulation) + 'static,
     ) {
         self.schedule_after(delay_ms, move |sim| {
             let owner = &sim.owners[owner_index];
@@ -260,7 +284,7 @@
                 return;
             }
             match owner.frozen_until_ms.checked_sub(sim.now_ms) {
-                Some(left_ms @ 1..) => sim.schedule_on_owner(owner_index, left_ms, event),
+                Some(left_ms @ 1..) => sim.schedule_undelayed_on_owner(owner_index, left_ms, event),
                 _ => event(sim),
             }
         });
@@ -323,6 +347,23 @@
         self.schedule_after(TAKEOVER_DELAY_MS, move |sim| sim.take_over(zone));
     }
 
+    /// Delays everything that the owner of a zone does by `lag_ms`. After `takeover_after_ms`
+    /// another one, which lags by `next_lag_ms` for 500 ms, takes over while the first is alive.
+    pub fn slow_down_owner(
+        &mut self,
+        zone: usize,
+        lag_ms: u64,
+        takeover_after_ms: u64,
+        next_lag_ms: u64,
+    ) {
+        let Some(owner_index) = self.current_owners[zone] else { return };
+        self.owners[owner_index].lag_ms = lag_ms;
+        self.schedule_after(takeover_after_ms, move |sim| {
+            let next_index = sim.take_over_with_lag(zone, next_lag_ms);
+            sim.schedule_after(500, move |sim| sim.owners[next_index].lag_ms = 0);
+        });
+    }
+
     /// Makes the owner of a zone release its targets to a new owner.
     pub fn release_owner(&mut self, zone: usize) {
         let Some(owner_index) = self.current_owners[zone].take() else { return };
@@ -442,19 +483,29 @@
         if self.callers[caller_index].answer.is_some() {
             return;
         }
-        self.disconnect(caller_index);
+        self.disconnect(caller_index, INTRA_ZONE_LATENCY_MS);
         self.resend(caller_index, zone);
     }
 
+    /// Loses the entry process of a caller, which resubmits its job in `zone`. The owner notices
+    /// when the entry process does not repeat its request for the answer.
+    pub fn lose_entry(&mut self, caller_index: usize, zone: usize) {
+        if self.callers[caller_index].answer.is_none() {
+            self.disconnect(caller_index, MAX_REPLY_DELAY_MS);
+            self.resend(caller_index, zone);
+        }
+    }
+
     /// Disconnects a caller that does not return.
     pub fn abandon(&mut self, caller_index: usize) {
         if self.callers[caller_index].answer.is_none() {
             self.callers[caller_index].abandoned = true;
-            self.disconnect(caller_index);
+            self.disconnect(caller_index, INTRA_ZONE_LATENCY_MS);
         }
     }
 
-    fn disconnect(&mut self, caller_index: usize) {
+    /// Closes the connection of a caller, which owners notice after `delay_ms`.
+    fn disconnect(&mut self, caller_index: usize, delay_ms: u64) {
         self.callers[caller_index].was_interrupted = true;
         self.callers[caller_index].connection += 1;
         for owner_index in 0..self.owners.len() {
@@ -468,7 +519,7 @@
                 .collect();
             self.owners[owner_index].waiters.retain(|(_, waiter)| !is_own(waiter));
             for request in requests {
-                self.remove_request(owner_index, request, INTRA_ZONE_LATENCY_MS);
+                self.remove_request(owner_index, request, delay_ms);
             }
         }
     }
@@ -559,44 +610,3 @@
         self.rng.random_range(0..bound)
     }
 }
-
-/// Shape of a job.
-#[derive(Clone, Copy)]
-pub struct JobShape {
-    pub queue: &'static str,
-    pub priority: u8,
-    pub count: u16,
-    pub cpu_milli: u64,
-    pub work_ms: u64,
-    pub fails: bool,
-}
-
-/// Wide, short, most urgent job.
-pub const SLOT_CHECK: JobShape = JobShape {
-    queue: "slot-check",
-    priority: 0,
-    count: 8,
-    cpu_milli: 14_000,
-    work_ms: 51,
-    fails: false,
-};
-
-/// Narrow job of medium length and priority.
-pub const CONFIRM: JobShape = JobShape {
-    queue: "confirm",
-    priority: 1,
-    count: 2,
-    cpu_milli: 14_000,
-    work_ms: 170,
-    fails: false,
-};
-
-/// Long, least urgent job.
-pub const QUOTE: JobShape = JobShape {
-    queue: "quote",
-    priority: 2,
-    count: 4,
-    cpu_milli: 14_000,
-    work_ms: 760,
-    fails: false,
-};
--- /dev/null
+++ b/crates/placement/tests/simulation/shapes.rs
@@ -0,0 +1,42 @@
+//! Shapes of the jobs that callers submit.
+
+/// Shape of a job.
+#[derive(Clone, Copy)]
+pub struct JobShape {
+    pub queue: &'static str,
+    pub priority: u8,
+    pub count: u16,
+    pub cpu_milli: u64,
+    pub work_ms: u64,
+    pub fails: bool,
+}
+
+/// Wide, short, most urgent job.
+pub const SLOT_CHECK: JobShape = JobShape {
+    queue: "slot-check",
+    priority: 0,
+    count: 8,
+    cpu_milli: 14_000,
+    work_ms: 51,
+    fails: false,
+};
+
+/// Narrow job of medium length and priority.
+pub const CONFIRM: JobShape = JobShape {
+    queue: "confirm",
+    priority: 1,
+    count: 2,
+    cpu_milli: 14_000,
+    work_ms: 170,
+    fails: false,
+};
+
+/// Long, least urgent job.
+pub const QUOTE: JobShape = JobShape {
+    queue: "quote",
+    priority: 2,
+    count: 4,
+    cpu_milli: 14_000,
+    work_ms: 760,
+    fails: false,
+};
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -6,6 +6,11 @@
 
 use harness::*;
 
+/// Returns a step of one task that may wait long enough for the lease of a target to expire.
+fn long_step() -> StepSpec {
+    StepSpec { estimate_ms: 5_000, ..step(1) }
+}
+
 cases! {
     job_with_runs_in_any_zone_waits_for_part_expiry(harness: [48]) {
         harness.advance(5_000);
@@ -62,6 +67,67 @@
         assert_eq!(harness.take_answers(), []);
     }
 
+    // The job may be a repeated one, of which a run of the earlier owner is on the target whose
+    // listing is missing.
+    new_job_waits_for_the_listings_of_all_targets(harness: [16]) {
+        let mut new_owner = Harness::after_takeover(&[16, 16]);
+        new_owner.apply_listing(0, &[], &[]);
+        new_owner.submit(job(JOB, vec![step(1)]));
+        assert_eq!(new_owner.take_starts(), []);
+        new_owner.apply_listing(1, &[(run(0, 1), 30)], &[]);
+        assert_eq!(new_owner.take_starts(), []);
+        new_owner.apply_listing(1, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        assert_eq!(new_owner.take_answers(), [JobAnswer::Completed]);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    part_of_another_zone_is_refused_while_listings_are_missing(harness: [16]) {
+        let mut new_owner = Harness::after_takeover(&[16, 16]);
+        new_owner.apply_listing(0, &[], &[]);
+        new_owner.submit(Submission { part: Some(7), ..job(JOB, vec![step(1)]) });
+        let refused = JobAnswer::Refused { reason: RefusalReason::Overloaded, retry_after_ms: 1_000 };
+        assert_eq!(new_owner.take_answers(), [refused]);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    // An entry process may resubmit a job just after its runs were stopped as orphans. They go on
+    // until the targets have carried out the stop requests.
+    job_that_arrives_while_its_orphaned_run_is_stopped_waits_for_the_end(harness: [16]) {
+        let mut new_owner = Harness::after_takeover(&[16, 16]);
+        new_owner.apply_listing(0, &[(run(0, 1), 30)], &[]);
+        new_owner.apply_listing(1, &[], &[]);
+        new_owner.advance(205);
+        assert_eq!(new_owner.take_stops(), [run(0, 1)]);
+        new_owner.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![step(1)]) });
+        assert_eq!(new_owner.take_starts(), []);
+        new_owner.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        assert_eq!(new_owner.take_starts(), [("t-0".to_owned(), run(0, 2))]);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    new_job_does_not_wait_for_a_silent_target(harness: [16]) {
+        let mut new_owner = Harness::after_takeover(&[16, 16]);
+        new_owner.apply_listing(0, &[], &[]);
+        new_owner.submit(job(JOB, vec![step(1)]));
+        new_owner.dispatcher.record_listing_failure("t-1", 250, 250, new_owner.now_ms);
+        assert_eq!(new_owner.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    // The timeout shows that the new owner is slow; the target may have answered in time.
+    new_job_waits_for_a_target_after_a_late_timeout(harness: [16]) {
+        let mut new_owner = Harness::after_takeover(&[16, 16]);
+        new_owner.apply_listing(0, &[], &[]);
+        new_owner.advance(700);
+        new_owner.submit(Submission { deadline_ms: 20_000, ..job(JOB, vec![long_step()]) });
+        new_owner.dispatcher.record_listing_failure("t-1", 600, 250, new_owner.now_ms);
+        assert_eq!(new_owner.take_starts(), []);
+        // By then the lease of the target must have expired.
+        new_owner.advance(400);
+        assert_eq!(new_owner.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        assert_eq!(harness.take_answers(), []);
+    }
+
     end_on_another_target_does_not_end_the_current_run(harness: [16]) {
         let mut new_owner = Harness::after_takeover(&[16, 16]);
         new_owner.apply_listing(0, &[], &[]);
