Let strong VMs claim first after all VMs start anew

The weak owner answered late or not at all (ProcessPaused 940 to 1,232 ms on weak owners, 133 requests resumed) until the strong one superseded it after 1.5 s. Each VM also wrote a line for each of 382 targets at the start: 13,370 of about 15,100 lines from 42 to 45 s.

- At its start a VM waits up to 300 ms more for a listed VM of its zone that would supersede it, and for the list if it was not read yet.
The list is read before and after the VM registers.
- A VM sends a heartbeat as soon as it learns of a peer, not in the next round.
- One line for the whole list of targets (645); later changes are logged one by one as before.

Failed try, reverted: reading the list only before registering.

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -48,7 +48,12 @@
 const FENCED_TOKEN_INCREMENT: u64 = 10_000 * TOKENS_PER_MS;
 
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
-const VM_LIST_WAIT_MS: u64 = 1_000;
+const VM_LIST_WAIT_MS: u64 = 700;
+
+/// Additional time for which a VM waits after its start for listed VMs of its zone with a much
+/// larger CPU share, and for the list if it was not read yet. The VMs of a deployment that starts anew start within 300 ms of each other;
+/// until such a VM supersedes a weaker owner, callers of the zone are served late.
+const STRONGER_VM_WAIT_MS: u64 = 300;
 
 /// Minimum CPU share, in percent of the owner's, of a VM that supersedes the owner.
 const SUPERSEDE_OWNER_CPU_PERCENT: u64 = 150;
@@ -186,6 +191,8 @@
     known_peer_count: usize,
     /// Whether the list of VMs was read.
     vm_list_loaded: bool,
+    /// Names of the listed VMs of this zone that would supersede this one, sorted.
+    stronger_vms: Vec<String>,
 }
 
 impl Ownership {
@@ -204,6 +211,7 @@
             peers: Vec::new(),
             known_peer_count: 0,
             vm_list_loaded: false,
+            stronger_vms: Vec::new(),
         }
     }
 
@@ -230,9 +238,15 @@
         self.known_peer_count = count;
     }
 
-    /// Records that the list of VMs was read, so that the known VMs are complete.
-    pub const fn set_vm_list_loaded(&mut self) {
+    /// Records that the list of VMs was read and contains `listed`.
+    pub fn set_vm_list<'a>(&mut self, listed: impl IntoIterator<Item = &'a Node>) {
         self.vm_list_loaded = true;
+        let local_node = &self.local_node;
+        let stronger = listed
+            .into_iter()
+            .filter(|node| node.zone == local_node.zone && supersedes(node, local_node));
+        self.stronger_vms = stronger.map(|node| node.name.clone()).collect();
+        self.stronger_vms.sort_unstable();
     }
 
     /// Records that this VM is about to stop; it makes no claims from now on.
@@ -289,11 +303,14 @@
     }
 
     /// Returns the peer whose claim to the targets of `zone` has the highest token, even if it is
-    /// no longer alive.
+    /// no longer alive. Of equal tokens, that of the VM whose name sorts first counts.
     pub fn owner_of(&self, zone: &Zone) -> Option<&PeerState> {
         let zone_peers = self.peers.iter().filter(|peer| peer.heartbeat.node.zone == *zone);
         let claimants = zone_peers.filter(|peer| peer.heartbeat.claim_token.is_some());
-        claimants.max_by_key(|peer| peer.heartbeat.claim_token)
+        let rank_key = |peer: &&PeerState| {
+            (peer.heartbeat.claim_token, std::cmp::Reverse(peer.heartbeat.node.name.clone()))
+        };
+        claimants.max_by_key(rank_key)
     }
 
     /// Returns whether a live peer in another zone has queued tasks.
@@ -342,8 +359,11 @@
     pub fn tick(&mut self, unix_ms: u64, now_ms: u64) -> Option<OwnershipChange> {
         match self.claim_state {
             ClaimState::Owner { token } => {
-                let highest_claimant = self.owner_of(&self.local_node.zone)?;
-                if highest_claimant.heartbeat.claim_token <= Some(token) {
+                let claimant = &self.owner_of(&self.local_node.zone)?.heartbeat;
+                // Targets don't tell apart owners with equal tokens, so that one has to yield.
+                let yields_tie = claimant.claim_token == Some(token)
+                    && claimant.node.name < self.local_node.name;
+                if claimant.claim_token <= Some(token) && !yields_tie {
                     return None;
                 }
                 self.claim_state = ClaimState::Follower;
@@ -383,7 +403,10 @@
         };
         let knows_others = self.vm_list_loaded || !self.peers.is_empty();
         let vm_list_wait_ms = if knows_others { 0 } else { VM_LIST_WAIT_MS };
-        let startup_end_ms = self.started_at_ms + STARTUP_WAIT_MS + vm_list_wait_ms;
+        let may_get_stronger_peer = !self.vm_list_loaded || self.has_silent_stronger_vm(now_ms);
+        let stronger_vm_wait_ms = if may_get_stronger_peer { STRONGER_VM_WAIT_MS } else { 0 };
+        let startup_end_ms =
+            self.started_at_ms + STARTUP_WAIT_MS + vm_list_wait_ms + stronger_vm_wait_ms;
         let claimable_since_ms = match self.owner_of(&self.local_node.zone) {
             None => startup_end_ms,
             Some(owner) if owner.heartbeat.leaving => owner.last_heartbeat_ms,
@@ -401,12 +424,20 @@
     ///
     /// A smaller gain is not worth the cost of superseding a live owner.
     fn should_supersede_owner(&self, owner: &PeerState, now_ms: u64) -> bool {
-        let min_cpu_milli = owner.heartbeat.node.cpu_milli * SUPERSEDE_OWNER_CPU_PERCENT / 100;
-        self.local_node.cpu_milli >= min_cpu_milli
+        supersedes(&self.local_node, &owner.heartbeat.node)
             && now_ms >= self.started_at_ms + SUPERSEDE_OWNER_MIN_UPTIME_MS
             && self.candidate_rank(now_ms) == 0
     }
 
+    /// Returns whether no heartbeat of a listed VM that would supersede this one has arrived.
+    fn has_silent_stronger_vm(&self, now_ms: u64) -> bool {
+        let is_alive = |name: &String| {
+            let index = self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name));
+            index.is_ok_and(|index| self.peers[index].is_alive(now_ms))
+        };
+        !self.stronger_vms.is_empty() && !self.stronger_vms.iter().any(is_alive)
+    }
+
     /// Returns whether a live peer reports a recent heartbeat of the owner.
     fn is_reported_alive(&self, owner: &PeerState, now_ms: u64) -> bool {
         let name = &owner.heartbeat.node.name;
@@ -438,6 +469,12 @@
     }
 }
 
+/// Returns whether the CPU share of `candidate` is at least [`SUPERSEDE_OWNER_CPU_PERCENT`] of the
+/// owner's.
+const fn supersedes(candidate: &Node, owner: &Node) -> bool {
+    candidate.cpu_milli >= owner.cpu_milli * SUPERSEDE_OWNER_CPU_PERCENT / 100
+}
+
 /// Returns the low 32 bits of an address.
 fn ip_low_bits(ip: IpAddr) -> u32 {
     match ip {
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -49,7 +49,7 @@
             fn $name() {
                 let mut $ownership = Ownership::new(node("a", 2, 250), 1, 0);
                 $ownership.set_known_peer_count(3);
-                $ownership.set_vm_list_loaded();
+                $ownership.set_vm_list([]);
                 $body
             }
         )+
@@ -77,6 +77,35 @@
         assert_eq!(first_claim_ms(&mut ownership, 1_500, 1_600), Some(1_500));
     }
 
+    vm_waits_at_start_for_a_listed_vm_with_much_larger_cpu_share(ownership) {
+        ownership.set_vm_list(&[node("a", 3, 500), node("a", 4, 250), node("b", 5, 500)]);
+        ownership.record_heartbeat(heartbeat(&node("a", 4, 250), None), 10);
+        assert_eq!(first_claim_ms(&mut ownership, 20, 1_000), Some(430));
+    }
+
+    vm_does_not_wait_for_a_stronger_vm_that_is_alive(ownership) {
+        ownership.set_vm_list(&[node("a", 3, 500), node("a", 4, 500)]);
+        ownership.record_heartbeat(heartbeat(&node("a", 3, 500), None), 10);
+        assert_eq!(first_claim_ms(&mut ownership, 20, 1_000), Some(250));
+    }
+
+    listed_stronger_vm_does_not_delay_a_claim_after_the_start(ownership) {
+        ownership.set_vm_list(&[node("a", 3, 500)]);
+        ownership.record_heartbeat(heartbeat(&node("a", 1, 250), Some(7)), 1_000);
+        ownership.record_heartbeat(heartbeat(&node("b", 9, 250), None), 1_400);
+        assert_eq!(first_claim_ms(&mut ownership, 1_400, 3_000), Some(1_450));
+    }
+
+    one_of_two_owners_with_equal_tokens_yields(ownership) {
+        ownership.record_heartbeat(heartbeat(&node("a", 3, 250), None), 100);
+        assert!(first_claim_ms(&mut ownership, 130, 200).is_some());
+        let token = ownership.claim_token();
+        ownership.record_heartbeat(heartbeat(&node("a", 3, 250), token), 200);
+        assert_eq!(ownership.tick(200, 200), None);
+        ownership.record_heartbeat(heartbeat(&node("a", 1, 250), token), 210);
+        assert_eq!(ownership.tick(210, 210), Some(OwnershipChange::Released));
+    }
+
     live_owner_prevents_a_claim(ownership) {
         for now_ms in (0..3_000).step_by(100) {
             ownership.record_heartbeat(heartbeat(&node("a", 1, 250), Some(7)), now_ms);
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -88,7 +88,10 @@
             let fetched = self.shared.http.get(addr, "/targets", PEER_TIMEOUT_MS).await;
             let Ok(reply) = fetched else { continue };
             match serde_json::from_slice::<Vec<TargetInfo>>(&reply.body) {
-                Ok(targets) => targets.into_iter().for_each(|info| self.update_target(info)),
+                Ok(targets) => {
+                    let changed = targets.iter().filter(|info| self.update_target(info)).count();
+                    log_event!(info, TargetListLoaded, targets = targets.len(), changed, peer = %addr);
+                }
                 Err(error) => {
                     log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
                 }
@@ -97,12 +100,20 @@
     }
 
     fn apply(&mut self, update: &VersionedRows) {
-        if self.version.is_none() {
+        let is_whole_list = self.version.is_none();
+        if is_whole_list {
             self.record_missing_targets(&update.rows);
         }
         self.version = Some(update.version);
-        for row in &update.rows {
-            self.apply_row(row);
+        let changed = update.rows.iter().filter_map(|row| self.apply_row(row));
+        let changed: Vec<TargetInfo> = changed.collect();
+        // After a restart of all VMs, a line for each target would take small VMs longer than the
+        // list itself.
+        if is_whole_list {
+            let targets = update.rows.len();
+            log_event!(info, TargetListLoaded, targets, changed = changed.len());
+        } else {
+            changed.iter().for_each(log_target);
         }
     }
 
@@ -124,38 +135,39 @@
         }
     }
 
-    fn apply_row(&mut self, row: &Row) {
+    /// Applies a row of the list. Returns the target if the row changes it.
+    fn apply_row(&mut self, row: &Row) -> Option<TargetInfo> {
         let Some(value) = &row.value else {
             self.record_missing(row.key.as_str().into(), self.shared.now_ms());
-            return;
+            return None;
         };
         match decode_target(&row.key, value) {
             Ok(info) => {
                 self.missing.retain(|(id, _)| *id != info.id);
-                self.update_target(info);
+                self.update_target(&info).then_some(info)
             }
             Err(error) => {
                 let error = error.current_context();
                 log_event!(warn, TargetEntryInvalid, target = row.key, error = %error);
+                None
             }
         }
     }
 
-    /// Adds or replaces a target; passes a change to the owner if this process is one.
-    fn update_target(&self, info: TargetInfo) {
+    /// Adds or replaces a target; passes a change to the owner if this process is one. Returns
+    /// whether the target changed.
+    fn update_target(&self, info: &TargetInfo) -> bool {
         let mut targets = self.shared.targets.lock();
         match targets.binary_search_by(|target| target.id.cmp(&info.id)) {
-            Ok(index) if targets[index] == info => return,
+            Ok(index) if targets[index] == *info => return false,
             Ok(index) => targets[index] = info.clone(),
             Err(index) => targets.insert(index, info.clone()),
         }
         drop(targets);
-        log_event!(
-            info, TargetListed, target = %info.id, zone = %info.zone, draining = info.draining
-        );
         if let Some(owner) = self.shared.owner.load_full() {
-            owner.update_target(&info);
+            owner.update_target(info);
         }
+        true
     }
 
     /// Removes the targets that have been missing for [`MISSING_RETENTION_MS`].
@@ -173,6 +185,10 @@
     }
 }
 
+fn log_target(info: &TargetInfo) {
+    log_event!(info, TargetListed, target = %info.id, zone = %info.zone, draining = info.draining);
+}
+
 /// Logs when the store becomes unreachable or reachable again.
 pub(crate) fn record_store_reachability<T>(
     shared: &Shared,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,6 +8,8 @@
 };
 
 use async_std::{net::UdpSocket, task};
+use futures::{FutureExt as _, pin_mut, select};
+use ggb_adapter::Row;
 use ggb_control::unix_time_ms;
 use ggb_membership::{HEARTBEAT_INTERVAL_MS, Heartbeat, Node, OwnershipChange};
 use ggb_placement::Load;
@@ -137,7 +139,20 @@
         let load = owner_load(&shared);
         send_heartbeat(&shared, &socket, load, recipients).await;
         update_gauges(&shared, load);
-        task::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
+        wait_for_next_round(&shared).await;
+    }
+}
+
+/// Waits for [`HEARTBEAT_INTERVAL_MS`], or less if a peer becomes known. After all processes start
+/// anew, they learn of each other before the first of them claims.
+async fn wait_for_next_round(shared: &Shared) {
+    let sleep = task::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).fuse();
+    let peer_added = shared.peer_added.recv().fuse();
+    pin_mut!(sleep, peer_added);
+    select! {
+        () = sleep => {}
+        // The channel stays open, since the sender is in the shared state, too.
+        _ = peer_added => {}
     }
 }
 
@@ -260,34 +275,48 @@
     shared.metrics.targets.with_label_values(&["sound"]).set(load.healthy_targets as i64);
 }
 
+/// Returns the VMs that the rows describe; rows that can't be decoded are logged and left out.
+fn decode_nodes(rows: &[Row]) -> Vec<Node> {
+    let decode = |row: &Row| match serde_json::from_slice::<Node>(row.value.as_deref()?) {
+        Ok(node) => Some(node),
+        Err(error) => {
+            log_event!(warn, PeerMessageInvalid, peer = row.key, error = %error);
+            None
+        }
+    };
+    rows.iter().filter_map(decode).collect()
+}
+
 /// Registers this process in the list of processes and reads the other processes from it, until
 /// the process ends.
 pub(crate) async fn maintain_membership(shared: Arc<Shared>) {
     let own_node = shared.ownership.lock().local_node().clone();
     let value = serde_json::to_vec(&own_node)
         .expect("a node serializes to JSON because its map keys are strings");
+    // After all processes start anew, each needs the list of those before within milliseconds, since
+    // it decides who claims first. It is read again below: at the very first start each process
+    // finds those that registered before it.
+    read_nodes(&shared).await;
     let mut is_registered = false;
     loop {
         if !is_registered {
             is_registered = shared.store().put(NODES_TABLE, &own_node.name, &value).await.is_ok();
         }
-        let read = shared.store().rows(NODES_TABLE).await;
-        let result = if read.is_ok() { "answered" } else { "failed" };
-        shared.metrics.store_calls.with_label_values(&["nodes", result]).inc();
-        let has_succeeded = is_registered && read.is_ok();
-        if read.is_ok() {
-            shared.ownership.lock().set_vm_list_loaded();
-        }
-        for row in read.map(|changes| changes.rows).unwrap_or_default() {
-            let value = row.value.unwrap_or_default();
-            match serde_json::from_slice::<Node>(&value) {
-                Ok(node) => shared.add_peer(node.ip),
-                Err(error) => {
-                    log_event!(warn, PeerMessageInvalid, peer = row.key, error = %error);
-                }
-            }
-        }
+        let was_read = read_nodes(&shared).await;
+        let has_succeeded = is_registered && was_read;
         let delay_ms = if has_succeeded { NODES_POLL_INTERVAL_MS } else { NODES_RETRY_DELAY_MS };
         task::sleep(Duration::from_millis(delay_ms)).await;
     }
 }
+
+/// Reads the list of processes. Returns whether the store answered.
+async fn read_nodes(shared: &Shared) -> bool {
+    let read = shared.store().rows(NODES_TABLE).await;
+    let result = if read.is_ok() { "answered" } else { "failed" };
+    shared.metrics.store_calls.with_label_values(&["nodes", result]).inc();
+    let Ok(changes) = read else { return false };
+    let nodes = decode_nodes(&changes.rows);
+    nodes.iter().for_each(|node| shared.add_peer(node.ip));
+    shared.ownership.lock().set_vm_list(&nodes);
+    true
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use async_channel::{Receiver, Sender};
 use ggb_adapter::{Configuration, NodeSettings, Store};
 use ggb_control::MonotonicClock;
 use ggb_http::HttpClient;
@@ -58,6 +59,9 @@
     pub(crate) targets: Mutex<Vec<TargetInfo>>,
     /// Addresses of the other processes, sorted.
     pub(crate) peers: Mutex<Vec<IpAddr>>,
+    /// Receives a message after an address was added to `peers`.
+    pub(crate) peer_added: Receiver<()>,
+    peer_added_sender: Sender<()>,
     pub(crate) open_requests: OpenRequests,
     /// Run time estimates of the last owner in this process, for its next one.
     pub(crate) run_times: Mutex<RunTimes>,
@@ -77,6 +81,7 @@
         http: Arc<HttpClient>,
         ownership: Ownership,
     ) -> Self {
+        let (peer_added_sender, peer_added) = async_channel::bounded(1);
         Shared {
             live_settings: ArcSwap::from_pointee(settings.clone()),
             settings,
@@ -90,6 +95,8 @@
             ownership: Mutex::new(ownership),
             targets: Mutex::new(Vec::new()),
             peers: Mutex::new(Vec::new()),
+            peer_added,
+            peer_added_sender,
             open_requests: OpenRequests::default(),
             run_times: Mutex::new(RunTimes::default()),
             drain_started_at_ms: AtomicU64::new(0),
@@ -167,5 +174,7 @@
             peers.len()
         };
         self.ownership.lock().set_known_peer_count(peer_count);
+        // Fails if a message is pending already, which also covers this peer.
+        self.peer_added_sender.try_send(()).ok();
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -132,6 +132,8 @@
     TargetEntryInvalid = 643,
     /// A target was added to the list of targets, changed in it or removed from it.
     TargetListed = 644,
+    /// The whole list of targets was read; targets that it adds are not logged one by one.
+    TargetListLoaded = 645,
     /// This process became the owner of the targets of its availability zone.
     OwnershipTaken = 660,
     /// This process released the ownership of the targets of its availability zone.
