--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -51,8 +51,10 @@
 const VM_LIST_WAIT_MS: u64 = 700;
 
 /// Additional time for which a VM waits after its start for listed VMs of its zone with a much
-/// larger CPU share, and for the list if it was not read yet. The VMs of a deployment that starts anew start within 300 ms of each other;
-/// until such a VM supersedes a weaker owner, callers of the zone are served late.
+/// larger CPU share, and for the list if it was not read yet.
+///
+/// After a start of the whole deployment the VMs come up within 300 ms of each other. A weak VM
+/// that claims first serves its callers late until a stronger one supersedes it.
 const STRONGER_VM_WAIT_MS: u64 = 300;
 
 /// Minimum CPU share, in percent of the owner's, of a VM that supersedes the owner.
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -90,7 +90,8 @@
             match serde_json::from_slice::<Vec<TargetInfo>>(&reply.body) {
                 Ok(targets) => {
                     let changed = targets.iter().filter(|info| self.update_target(info)).count();
-                    log_event!(info, TargetListLoaded, targets = targets.len(), changed, peer = %addr);
+                    let targets = targets.len();
+                    log_event!(info, TargetListLoaded, targets, changed, peer = %addr);
                 }
                 Err(error) => {
                     log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -293,9 +293,9 @@
     let own_node = shared.ownership.lock().local_node().clone();
     let value = serde_json::to_vec(&own_node)
         .expect("a node serializes to JSON because its map keys are strings");
-    // After all processes start anew, each needs the list of those before within milliseconds, since
-    // it decides who claims first. It is read again below: at the very first start each process
-    // finds those that registered before it.
+    // After all processes start anew, each needs the list of the earlier ones within milliseconds,
+    // since it decides who claims first. It is read again below: at the very first start each
+    // process finds those that registered before it.
     read_nodes(&shared).await;
     let mut is_registered = false;
     loop {
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -101,11 +101,11 @@
         }
     }
 
-    /// Returns whether the runs of a service that earlier owners of this zone started are known: all
-    /// targets that answer have sent a listing, or their leases must have expired.
+    /// Returns whether the runs of a service that earlier owners of this zone started are known:
+    /// all targets that answer have sent a listing, or their leases must have expired.
     ///
-    /// A silent target doesn't count, since most such targets have crashed. Waiting for their leases
-    /// after each change of the owner would delay all new jobs by a second.
+    /// A silent target doesn't count, since most such targets have crashed. Waiting for their
+    /// leases after each change of the owner would delay all new jobs by a second.
     pub(super) fn are_zone_runs_known(&self, service: &str, now_ms: u64) -> bool {
         let mut targets = self.targets_of(service).peekable();
         now_ms >= self.took_over_at_ms + LEASE_EXPIRY_MS
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -362,8 +362,8 @@
         }
     }
 
-    /// Returns the run of `task` with the highest number that an earlier dispatcher started, or that
-    /// is being stopped because no job needed it.
+    /// Returns the run of `task` with the highest number that an earlier dispatcher started, or
+    /// that is being stopped because no job needed it.
     pub fn latest_unassigned_run(&self, task: TaskId) -> Option<TargetRun> {
         let is_unassigned = |target_run: &&TargetRun| {
             target_run.run.task == task
--- a/crates/placement/src/target_run.rs
+++ b/crates/placement/src/target_run.rs
@@ -57,8 +57,8 @@
     pub start_sent_at_ms: u64,
     /// Target clock time after which the target rejects the start request.
     pub valid_until_clock_ms: u64,
-    /// Value of [`crate::Target::token_offset`] when the start request was sent. The request carried the
-    /// owner's token plus this number.
+    /// Value of [`crate::Target::token_offset`] when the start request was sent. The request
+    /// carried the owner's token plus this number.
     pub token_offset: u64,
     /// Expected run time, in ms.
     pub expected_ms: u64,
