--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod links;
+mod schedule;
 pub mod shapes;
 
 use std::{cmp::Reverse, collections::BinaryHeap, ops::Range, sync::Arc};
@@ -16,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use links::Faults;
+use schedule::ScheduledEvent;
 use shapes::JobShape;
 
 /// Time after which a caller stops waiting.
@@ -39,34 +41,6 @@
 /// Time after which a caller resubmits a job without an answer.
 const RESEND_DELAY_MS: u64 = 1_300;
 
-type Event = Box<dyn FnOnce(&mut Simulation)>;
-
-struct ScheduledEvent {
-    at_ms: u64,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for ScheduledEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for ScheduledEvent {}
-
-impl PartialOrd for ScheduledEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for ScheduledEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_ms, self.number).cmp(&(other.at_ms, other.number))
-    }
-}
-
 /// Receiver of an answer from a dispatcher.
 #[derive(Clone, Copy)]
 enum Waiter {
