Log and count the runs that end with their target

Cause: a lapsed lease logged only the number of runs that it ended, so logs could not tell whether one task or many had crashed targets. A takeover did not log which capacity the new owner takes for free.

A new owner takes the reported CPU use of a run for its demand. No logic changed.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of the process.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
 use ggb_telemetry::MetricSet;
@@ -36,6 +36,9 @@
     /// Number of requests to targets, by kind (`hold` for requests for a listing) and outcome
     /// (`other_life`: another incarnation answered).
     pub target_requests: IntCounterVec,
+    /// Number of runs that ended without a listed end, since their target crashed or was
+    /// unreachable until its lease expired.
+    pub lost_runs: IntCounter,
     /// Number of calls to the platform's store, by table (label `call`) and result: answered,
     /// failed.
     pub store_calls: IntCounterVec,
@@ -73,6 +76,11 @@
             registry.register(Box::new(metric.clone())).expect(VALID_METRIC);
             metric
         };
+        let counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help).expect(VALID_METRIC);
+            registry.register(Box::new(metric.clone())).expect(VALID_METRIC);
+            metric
+        };
         let histograms = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_MS.to_vec());
             let metric = HistogramVec::new(options, &[label]).expect(VALID_METRIC);
@@ -91,6 +99,7 @@
                 "Orders to targets",
                 &["kind", "outcome"],
             ),
+            lost_runs: counter("ggb_lost_runs_total", "Runs that ended with their target"),
             store_calls: counters(
                 "ggb_store_calls_total",
                 "Calls to the store",
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -238,6 +238,7 @@
         let mut state = self.state.lock();
         let result = change(&mut state.dispatcher, now_ms);
         let actions = state.dispatcher.take_actions();
+        self.shared.metrics.lost_runs.inc_by(state.dispatcher.take_lost_runs());
         drop(state);
         for action in actions {
             self.execute(action);
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -13,7 +13,8 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    JobAnswer, JobId, RefusalReason, Run, RunPhase, RunTimes, Target, TargetInfo,
+    JobAnswer, JobId, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target, TargetInfo,
+    TargetRun,
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
@@ -74,6 +75,8 @@
     remote_zones: Vec<RemoteZone>,
     offloaded_parts: Vec<OffloadedPart>,
     next_part: u64,
+    /// Number of runs that ended without a listed end since [`Dispatcher::take_lost_runs`].
+    lost_runs: u64,
 }
 
 /// Queue position of a job; the order of the fields is the scheduling order.
@@ -110,6 +113,7 @@
             remote_zones: Vec::new(),
             offloaded_parts: Vec::new(),
             next_part: first_part,
+            lost_runs: 0,
         }
     }
 
@@ -118,6 +122,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the number of runs that ended without a listed end since the last call, for metrics.
+    pub const fn take_lost_runs(&mut self) -> u64 {
+        std::mem::replace(&mut self.lost_runs, 0)
+    }
+
     /// Returns whether a target rejected a start request because another dispatcher has taken it
     /// over.
     pub const fn is_superseded(&self) -> bool {
@@ -393,6 +402,22 @@
         self.actions.push(Action::RequestListing { target });
     }
 
+    /// Counts and logs a run that ended without a listed end.
+    fn record_lost_run(
+        &mut self,
+        target_run: &TargetRun,
+        target_id: &str,
+        end: RunEnd,
+        now_ms: u64,
+    ) {
+        self.lost_runs += 1;
+        log_event!(
+            warn, RunLost, run = %target_run.run, target = target_id, end = ?end,
+            phase = ?target_run.phase, is_confirmed = target_run.is_confirmed,
+            ran_ms = now_ms - target_run.start_sent_at_ms
+        );
+    }
+
     /// Returns the task of an ended run to the queue, unless its job is closed.
     fn requeue_task(&mut self, run: Run, target_id: &str, failed: bool, now_ms: u64) {
         let Some(job) = self.job_mut(run.task.job) else { return };
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -5,7 +5,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobAnswer, JobId, LEASE_EXPIRY_MS, RefusalReason, RunPhase,
+    Dispatcher, JobAnswer, JobId, LEASE_EXPIRY_MS, RefusalReason, RunEnd, RunPhase,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -103,11 +103,13 @@
                 );
                 let target_id = Arc::clone(&target.info().id);
                 let ended = target.expire_runs().into_iter();
-                expired.extend(ended.map(|ended| (Arc::clone(&target_id), ended.run)));
+                let lost = ended.filter_map(|ended| ended.target_run);
+                expired.extend(lost.map(|target_run| (Arc::clone(&target_id), target_run)));
             }
         }
-        for (target, run) in expired {
-            self.requeue_task(run, &target, false, now_ms);
+        for (target, target_run) in expired {
+            self.record_lost_run(&target_run, &target, RunEnd::Lapsed, now_ms);
+            self.requeue_task(target_run.run, &target, false, now_ms);
         }
     }
 
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -23,12 +23,14 @@
         let is_first_listing = !self.targets[target_index].has_current_listing();
         let ended = self.targets[target_index].apply_listing(listing, requested_at_ms, now_ms);
         if is_first_listing {
+            let target = &self.targets[target_index];
             log_event!(
                 info,
                 TargetOwned,
                 target = id,
                 running = listing.running.len(),
-                finished = listing.finished.len()
+                finished = listing.finished.len(),
+                free_cpu_milli = target.free().cpu_milli
             );
         }
         for ended in ended {
@@ -46,6 +48,9 @@
             run.task.job.is_sampled(), RunEnded, run = %run, target = %target_id, end = ?end, ran_ms
         );
         self.update_target_health(target_index, run, end, now_ms);
+        if let (RunEnd::Lost, Some(target_run)) = (end, target_run) {
+            self.record_lost_run(&target_run, &target_id, end, now_ms);
+        }
         match end {
             RunEnd::Done => {
                 if let Some(job) = self.job(run.task.job) {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -122,6 +122,9 @@
     RunAdopted = 625,
     /// A target was unreachable until its lease expired; its runs have ended.
     LeaseLapsed = 626,
+    /// A run ended without a listed end: its target restarted, no longer lists it, or was
+    /// unreachable until its lease expired.
+    RunLost = 627,
     /// A target sent its first listing to this dispatcher and now rejects lower fencing tokens.
     TargetOwned = 640,
     /// A target does not answer requests for a listing.
