--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -336,7 +336,7 @@
 /// Returns the specification of runs that succeed after `work_ms`.
 pub fn run_spec(work_ms: u64) -> RunSpec {
     let demand = Capacity { cpu_milli: 14_000, memory_mb: 64, gpus: 0 };
-    RunSpec { demand, work_ms, fails: false }
+    RunSpec { demand, work_ms, fails: false, crashes: false }
 }
 
 /// Returns the request body of a job.
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -71,6 +71,21 @@
         assert_eq!(fleet.run_records().len(), 3);
     }
 
+    task_that_crashes_its_targets_is_started_twice_at_most_by_all_owners(66, fleet) {
+        let crashing = RunSpec { crashes: true, ..run_spec(10) };
+        for node in [0, 0, 1, 2, 3] {
+            fleet.submit_with_spec(node, 7, 1, crashing).await;
+        }
+        fleet.nodes[0].process.kill();
+        fleet.wait_until("the next owner completes a job", || async {
+            let reply = fleet.submit(1, rand::random(), 1, 10).await;
+            reply.is_some_and(|reply| job_state(&reply).as_deref() == Some("completed"))
+        }).await;
+        fleet.submit_with_spec(1, 7, 1, crashing).await;
+        let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
+        assert!(crashed <= 2, "{crashed} targets crashed");
+    }
+
     invalid_and_unknown_requests_are_rejected_with_their_status(54, fleet) {
         let kept_job = json!({ "spec": "x", "steps": [{ "count": 1 }] }).to_string().into_bytes();
         let path = format!("{PATH_PREFIX}{:016x}", 1);
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -440,7 +440,12 @@
         };
         self.callers.push(Caller {
             submission,
-            work: SimulatedWork { demand, work_ms: shape.work_ms, fails: shape.fails },
+            work: SimulatedWork {
+                demand,
+                work_ms: shape.work_ms,
+                fails: shape.fails,
+                crashes: shape.crashes,
+            },
             sent_at_ms: self.now_ms,
             received_at_ms: self.now_ms,
             answer: None,
--- a/crates/placement/tests/simulation/shapes.rs
+++ b/crates/placement/tests/simulation/shapes.rs
@@ -9,6 +9,7 @@
     pub cpu_milli: u64,
     pub work_ms: u64,
     pub fails: bool,
+    pub crashes: bool,
 }
 
 /// Wide, short, most urgent job.
@@ -19,6 +20,7 @@
     cpu_milli: 14_000,
     work_ms: 51,
     fails: false,
+    crashes: false,
 };
 
 /// Narrow job of medium length and priority.
@@ -29,6 +31,7 @@
     cpu_milli: 14_000,
     work_ms: 170,
     fails: false,
+    crashes: false,
 };
 
 /// Long, least urgent job.
@@ -39,4 +42,5 @@
     cpu_milli: 14_000,
     work_ms: 760,
     fails: false,
+    crashes: false,
 };
--- a/crates/standin/src/run_target.rs
+++ b/crates/standin/src/run_target.rs
@@ -30,6 +30,9 @@
     pub work_ms: u64,
     /// Whether the run fails at its end.
     pub fails: bool,
+    /// Whether the run crashes every target that starts it.
+    #[serde(default)]
+    pub crashes: bool,
 }
 
 /// Stand-in for a target of the platform: a [`SimulatedTarget`] that is reached over HTTP.
@@ -179,7 +182,8 @@
     else {
         return Response::new(StatusCode::BadRequest);
     };
-    let work = SimulatedWork { demand: spec.demand, work_ms: spec.work_ms, fails: spec.fails };
+    let RunSpec { demand, work_ms, fails, crashes } = spec;
+    let work = SimulatedWork { demand, work_ms, fails, crashes };
     let now_ms = unix_time_ms();
     let mut target = target.lock();
     let valid_until_clock_ms = message.deadline_ms.unwrap_or(0);
--- a/crates/standin/src/simulated_target.rs
+++ b/crates/standin/src/simulated_target.rs
@@ -29,6 +29,8 @@
     pub work_ms: u64,
     /// Whether the run fails at its end on every target.
     pub fails: bool,
+    /// Whether the run crashes every target that starts it.
+    pub crashes: bool,
 }
 
 /// A run in progress.
@@ -236,6 +238,9 @@
             SimulatedTargetMode::Healthy => (Some(now_ms + work.work_ms), RunEnd::Done),
         };
         self.runs.push(SimulatedRun { run, work, started_at_ms: now_ms, ends_at_ms, end });
+        if work.crashes {
+            self.crash(now_ms);
+        }
         StartOutcome::Accepted
     }
 
