Give up tasks under which two targets crashed, whoever owns the targets

Cause: a run that ended with its target returned its task to the queue as if it had never been started. Only an end that the target lists as failed counted as an attempt, so one task crashed a target after each expired lease; each owner, zone and resubmission began anew. Class: a retry without a budget, whose count lives in the one that retries.

Every owner now remembers which targets were lost under which task from the moment a target is silent, settles them when the target answers (crashed, or only cut off), and shares them in its heartbeats, so that later owners, other zones and resubmissions know them. A task with two losses is not started; with two proven crashes its job fails at once. A task with one loss starts apart from others and is not offloaded.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -15,7 +15,7 @@
 use ggb_model::Zone;
 use ggb_placement::{
     Action, Dispatcher, EarlierRuns, JobAnswer, Load, MAX_LEASE_MS, PartOutcome, RequestId, Run,
-    Submission, TargetInfo,
+    Submission, TargetInfo, TargetLoss,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -44,6 +44,10 @@
 /// Interval of [`Dispatcher::tick`] while the dispatcher has no jobs.
 const IDLE_TICK_INTERVAL_MS: u64 = 100;
 
+/// Time for which heartbeats repeat a loss of a target, so that processes that miss some of them
+/// learn of it.
+const LOSS_REPORT_MS: u64 = 2_000;
+
 /// Size of the range of part numbers that belongs to one token; the ranges of consecutive
 /// tokens are adjacent, so more parts under one token would reuse the numbers of the next.
 const MAX_PARTS_PER_TOKEN: u64 = 1_024;
@@ -135,6 +139,8 @@
         for target in targets {
             owner.update_target(&target);
         }
+        let losses = owner.shared.target_losses.lock().clone();
+        owner.merge_target_losses(losses.updated_since(0));
         task::spawn(Arc::clone(&owner).run_ticks());
         owner
     }
@@ -147,6 +153,26 @@
         let mut state = self.state.lock();
         state.part_cancel_senders.clear();
         *self.shared.run_times.lock() = state.dispatcher.run_times().clone();
+        *self.shared.target_losses.lock() = state.dispatcher.target_losses().clone();
+    }
+
+    /// Adds losses of targets that other processes know of.
+    pub(crate) fn merge_target_losses<'a>(
+        self: &Arc<Self>,
+        losses: impl IntoIterator<Item = &'a TargetLoss>,
+    ) {
+        self.update(|dispatcher, now_ms| dispatcher.merge_target_losses(losses, now_ms));
+    }
+
+    /// Returns up to `max` losses of targets that became known or changed within the last
+    /// [`LOSS_REPORT_MS`]; if there are more, successive rounds return different ones.
+    pub(crate) fn recent_target_losses(&self, max: usize, round: u64) -> Vec<TargetLoss> {
+        let since_ms = self.shared.now_ms().saturating_sub(LOSS_REPORT_MS);
+        let state = self.state.lock();
+        let losses = state.dispatcher.target_losses();
+        let count = losses.updated_since(since_ms).count();
+        let first = (round as usize).wrapping_mul(max) % count.max(1);
+        losses.updated_since(since_ms).cycle().skip(first).take(max.min(count)).cloned().collect()
     }
 
     /// Returns the current load of the zone's targets.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,8 +12,9 @@
 use ggb_adapter::Row;
 use ggb_control::unix_time_ms;
 use ggb_membership::{HEARTBEAT_INTERVAL_MS, Heartbeat, Node, OwnershipChange};
-use ggb_placement::Load;
+use ggb_placement::{Load, TargetLoss};
 use ggb_telemetry::log_event;
+use serde::{Deserialize, Serialize};
 
 use crate::{configuration::fetch_from_peer, owner::Owner, shared::Shared};
 
@@ -49,6 +50,19 @@
 /// Maximum size of a heartbeat, well within the limit of a datagram.
 const MAX_HEARTBEAT_BYTES: usize = 8_192;
 
+/// Maximum number of losses of targets in a heartbeat; each takes some 120 bytes.
+const MAX_HEARTBEAT_LOSSES: usize = 16;
+
+/// A heartbeat with the losses of targets that its sender, an owner, has recently learned of.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct HeartbeatMessage {
+    #[serde(flatten)]
+    heartbeat: Heartbeat,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    target_losses: Vec<TargetLoss>,
+}
+
 /// Interval at which the list of processes is read. The list matters at start and after a network
 /// partition; otherwise a new process makes itself known by its heartbeats.
 const NODES_POLL_INTERVAL_MS: u64 = 15_000;
@@ -78,8 +92,13 @@
             // goes on.
             continue;
         };
-        match serde_json::from_slice::<Heartbeat>(&buffer[..length]) {
-            Ok(heartbeat) => handle_heartbeat(&shared, &socket, heartbeat).await,
+        match serde_json::from_slice::<HeartbeatMessage>(&buffer[..length]) {
+            Ok(HeartbeatMessage { heartbeat, target_losses }) => {
+                if !target_losses.is_empty() {
+                    shared.merge_target_losses(&target_losses);
+                }
+                handle_heartbeat(&shared, &socket, heartbeat).await;
+            }
             Err(error) => {
                 log_event!(warn, PeerMessageInvalid, peer = %from, error = %error);
             }
@@ -230,7 +249,12 @@
     heartbeat.configuration_version =
         shared.configuration.load().as_ref().map_or(0, |current| current.version);
     let is_owner = heartbeat.claim_token.is_some();
-    let message = serde_json::to_vec(&heartbeat)
+    let round = now_ms / HEARTBEAT_INTERVAL_MS;
+    let owner = shared.owner.load_full();
+    let target_losses = owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round));
+    let target_losses = target_losses.unwrap_or_default();
+    let message = HeartbeatMessage { heartbeat, target_losses };
+    let message = serde_json::to_vec(&message)
         .expect("a heartbeat serializes to JSON because its map keys are strings");
     let is_remote_recipient = |known: &Option<(bool, bool)>| {
         let is_to_owner = known.is_some_and(|(_, owner)| owner);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,7 +14,8 @@
 use ggb_control::MonotonicClock;
 use ggb_http::HttpClient;
 use ggb_membership::{Ownership, VersionGossip};
-use ggb_placement::{RunTimes, TargetInfo};
+use ggb_placement::{RunTimes, TargetInfo, TargetLoss, TargetLosses};
+use ggb_telemetry::log_event;
 use parking_lot::Mutex;
 
 use crate::{NodeMetrics, open_requests::OpenRequests, owner::Owner};
@@ -65,6 +66,8 @@
     pub(crate) open_requests: OpenRequests,
     /// Run time estimates of the last owner in this process, for its next one.
     pub(crate) run_times: Mutex<RunTimes>,
+    /// Losses of targets that owners of any zone reported, for the next owner in this process.
+    pub(crate) target_losses: Mutex<TargetLosses>,
     /// Time of the request to stop, or 0 before it.
     drain_started_at_ms: AtomicU64,
     pub(crate) configuration_read: LastReadTime,
@@ -99,6 +102,7 @@
             peer_added_sender,
             open_requests: OpenRequests::default(),
             run_times: Mutex::new(RunTimes::default()),
+            target_losses: Mutex::new(TargetLosses::new()),
             drain_started_at_ms: AtomicU64::new(0),
             store_reachable: AtomicBool::new(true),
             ready: AtomicBool::new(false),
@@ -160,6 +164,25 @@
         self.ready.swap(ready, Ordering::Relaxed) != ready
     }
 
+    /// Remembers losses of targets, and passes new ones to the owner in this process.
+    pub(crate) fn merge_target_losses(&self, losses: &[TargetLoss]) {
+        let now_ms = self.now_ms();
+        let new_losses: Vec<&TargetLoss> = {
+            let mut known = self.target_losses.lock();
+            known.prune(now_ms);
+            losses.iter().filter(|loss| known.merge(loss, now_ms)).collect()
+        };
+        for loss in &new_losses {
+            log_event!(
+                info, TargetLossLearned, task = %loss.task, target = %loss.target,
+                cause = ?loss.cause
+            );
+        }
+        if let Some(owner) = self.owner.load_full().filter(|_| !new_losses.is_empty()) {
+            owner.merge_target_losses(new_losses);
+        }
+    }
+
     /// Adds the address of another process to the known peers.
     pub(crate) fn add_peer(&self, ip: IpAddr) {
         if ip == self.settings.ip {
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -6,6 +6,7 @@
 mod job_state;
 mod lending;
 mod listings;
+mod losses;
 mod place;
 
 use std::sync::Arc;
@@ -13,8 +14,8 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    JobAnswer, JobId, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target, TargetInfo,
-    TargetRun,
+    JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
+    TargetInfo, TargetLosses, TargetRun,
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
@@ -77,6 +78,7 @@
     next_part: u64,
     /// Number of runs that ended without a listed end since [`Dispatcher::take_lost_runs`].
     lost_runs: u64,
+    target_losses: TargetLosses,
 }
 
 /// Queue position of a job; the order of the fields is the scheduling order.
@@ -114,6 +116,7 @@
             offloaded_parts: Vec::new(),
             next_part: first_part,
             lost_runs: 0,
+            target_losses: TargetLosses::new(),
         }
     }
 
@@ -180,6 +183,7 @@
 
     /// Adds or updates a target of this zone.
     pub fn upsert_target(&mut self, info: TargetInfo) {
+        self.record_target_restart(&info);
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
             Ok(index) => self.targets[index].update_info(info),
             Err(index) => self.targets.insert(index, Target::new(info)),
@@ -188,6 +192,7 @@
 
     /// Adds or updates a target of another zone.
     pub fn upsert_remote_target(&mut self, info: TargetInfo) {
+        self.record_target_restart(&info);
         match self.remote_targets.binary_search_by(|target| target.id.cmp(&info.id)) {
             Ok(index) => self.remote_targets[index] = info,
             Err(index) => self.remote_targets.insert(index, info),
@@ -197,6 +202,7 @@
     /// Records that a target left the target list. Its runs continue until they end or its lease
     /// expires.
     pub fn mark_target_removed(&mut self, id: &str) {
+        self.record_target_gone(id);
         self.remote_targets.retain(|target| *target.id != *id);
         if let Some(target) = self.target_mut(id) {
             target.mark_removed();
@@ -294,7 +300,10 @@
         let Some(target_index) = self.target_index(id) else { return };
         match (self.targets[target_index].set_unreachable(!reachable), reachable) {
             (true, true) => log_event!(info, TargetReachable, target = id),
-            (true, false) => log_event!(warn, TargetUnreachable, target = id),
+            (true, false) => {
+                log_event!(warn, TargetUnreachable, target = id);
+                self.record_target_loss(target_index, LossCause::Unknown, now_ms);
+            }
             (false, _) => return,
         }
         if reachable {
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -11,6 +11,7 @@
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
+        losses::TASK_CRASHES_TARGETS,
     },
 };
 
@@ -54,6 +55,11 @@
             self.actions.push(Action::Answer { request, answer });
             return;
         }
+        if let Some(task) = self.target_losses.deadly_task(id) {
+            log_event!(info, JobFailed, job = %id, task = %task, reason = TASK_CRASHES_TARGETS);
+            self.actions.push(Action::Answer { request, answer: JobAnswer::Failed });
+            return;
+        }
         if let Some(job) = self.job(id)
             && job.submission().part != submission.part
         {
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -58,6 +58,7 @@
         for target in &mut self.targets {
             target.prune_recent_ends(now_ms);
         }
+        self.target_losses.prune(now_ms);
         self.cached_answers.retain(|cached| now_ms < cached.at_ms + ANSWER_RETENTION_MS);
     }
 
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -119,6 +119,8 @@
             return;
         }
         let mut tasks = job.startable_tasks();
+        // The other zone might not know of the losses yet.
+        tasks.retain(|task_index| !self.is_suspect(job.tasks[*task_index].id));
         let accepts_part = |remote: &&RemoteZone| {
             let has_part =
                 |offloaded: &OffloadedPart| offloaded.job == id && offloaded.zone == remote.zone;
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -21,6 +21,7 @@
         self.advance_time(now_ms);
         let Some(target_index) = self.target_index(id) else { return };
         let is_first_listing = !self.targets[target_index].has_current_listing();
+        self.settle_target_losses(target_index, listing, requested_at_ms, now_ms);
         let ended = self.targets[target_index].apply_listing(listing, requested_at_ms, now_ms);
         if is_first_listing {
             let target = &self.targets[target_index];
--- /dev/null
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -0,0 +1,139 @@
+//! Tasks under which targets were lost.
+//!
+//! A target that crashes takes all of its runs with it, and which of them is to blame is not known.
+//! Each of their tasks counts the loss, is kept apart from other tasks when it starts again, and is
+//! given up once too many targets have crashed under it.
+
+use std::sync::Arc;
+
+use ggb_telemetry::log_event;
+
+use crate::{
+    Dispatcher, JobAnswer, JobId, Listing, LossCause, TargetInfo, TargetLoss, TargetLosses, TaskId,
+    dispatcher::job_state::{JobPhase, JobState},
+};
+
+/// Reason in the log for the failure of a job.
+pub(super) const TASK_CRASHES_TARGETS: &str = "its task crashes targets";
+
+impl Dispatcher {
+    /// Returns the known losses of targets, for the other processes.
+    pub const fn target_losses(&self) -> &TargetLosses {
+        &self.target_losses
+    }
+
+    /// Adds losses that another process knows of.
+    pub fn merge_target_losses<'a>(
+        &mut self,
+        losses: impl IntoIterator<Item = &'a TargetLoss>,
+        now_ms: u64,
+    ) {
+        let mut is_changed = false;
+        for loss in losses {
+            if self.target_losses.merge(loss, now_ms) {
+                is_changed = true;
+                if let Some(target) = self.target_mut(&loss.target) {
+                    target.set_loss_recorded(now_ms);
+                }
+            }
+        }
+        if is_changed {
+            self.fail_deadly_jobs(now_ms);
+        }
+    }
+
+    /// Returns whether a target may have crashed because of the task.
+    pub(super) fn is_suspect(&self, task: TaskId) -> bool {
+        !self.target_losses.is_empty() && self.target_losses.count(task).is_suspect()
+    }
+
+    /// Records that a target was lost with all of its runs.
+    ///
+    /// A draining target may have left, which ends its runs as well.
+    pub(super) fn record_target_loss(
+        &mut self,
+        target_index: usize,
+        cause: LossCause,
+        now_ms: u64,
+    ) {
+        let target = &mut self.targets[target_index];
+        if target.info().draining || target.runs().is_empty() {
+            return;
+        }
+        target.set_loss_recorded(now_ms);
+        let target = &self.targets[target_index];
+        for target_run in target.runs() {
+            let loss = TargetLoss {
+                task: target_run.run.task,
+                target: Arc::clone(&target.info().id),
+                started_unix_ms: target.started_unix_ms(),
+                revision: 0,
+                cause,
+                has_started: target_run.is_confirmed,
+            };
+            self.target_losses.record(loss, now_ms);
+        }
+    }
+
+    /// Updates the losses of a target from a listing, before the listing is applied.
+    pub(super) fn settle_target_losses(
+        &mut self,
+        target_index: usize,
+        listing: &Listing,
+        requested_at_ms: u64,
+        now_ms: u64,
+    ) {
+        let earlier_unix_ms = self.targets[target_index].started_unix_ms();
+        if listing.started_unix_ms < earlier_unix_ms {
+            return;
+        }
+        let has_restarted = listing.started_unix_ms > earlier_unix_ms;
+        if has_restarted {
+            self.record_target_loss(target_index, LossCause::Crashed, now_ms);
+        }
+        let target = &mut self.targets[target_index];
+        if !target.take_settled_loss(requested_at_ms) && !has_restarted {
+            return;
+        }
+        let id = Arc::clone(&target.info().id);
+        self.target_losses.record_alive(&id, listing.started_unix_ms, now_ms);
+        let running = listing.running.iter().map(|listed| listed.run);
+        let finished = listing.finished.iter().map(|listed| listed.run);
+        for run in running.chain(finished) {
+            self.target_losses.record_survival(run.task, &id, earlier_unix_ms, now_ms);
+        }
+        self.fail_deadly_jobs(now_ms);
+    }
+
+    /// Updates the losses of a target from its entry in the target list.
+    pub(super) fn record_target_restart(&mut self, info: &TargetInfo) {
+        let now_ms = self.last_event_at_ms;
+        self.target_losses.record_restart(&info.id, info.started_unix_ms, now_ms);
+        self.fail_deadly_jobs(now_ms);
+    }
+
+    /// Updates the losses of a target that left the target list.
+    pub(super) fn record_target_gone(&mut self, id: &str) {
+        let has_drained = self.target_mut(id).is_some_and(|target| target.info().draining);
+        if !has_drained {
+            self.target_losses.record_gone(id, self.last_event_at_ms);
+            self.fail_deadly_jobs(self.last_event_at_ms);
+        }
+    }
+
+    /// Fails the jobs with a task that must not be started any more.
+    fn fail_deadly_jobs(&mut self, now_ms: u64) {
+        if self.target_losses.is_empty() {
+            return;
+        }
+        let open = self.jobs.iter().filter(|job| job.phase() == JobPhase::Open);
+        let deadly: Vec<(JobId, TaskId)> = open
+            .map(JobState::id)
+            .filter_map(|id| Some((id, self.target_losses.deadly_task(id)?)))
+            .collect();
+        for (id, task) in deadly {
+            log_event!(info, JobFailed, job = %id, task = %task, reason = TASK_CRASHES_TARGETS);
+            self.finish_job(id, JobAnswer::Failed, now_ms);
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,7 +10,8 @@
 //! * on which target each task runs, and in which order waiting tasks start;
 //! * when a run has ended, which only a listing of its target or the end of the target's lease
 //!   can show, see [`Target`];
-//! * which targets get no work because they are unhealthy.
+//! * which targets get no work because they are unhealthy;
+//! * which tasks are not started again since targets crashed under them, see [`TargetLosses`].
 //!
 //! [`RoutedJob`] tracks what each dispatcher of a job must be told about the dispatchers before it.
 //! [`RunTimes`] estimates the run times of tasks per queue.
@@ -23,6 +24,7 @@
 mod routed_job;
 mod target;
 mod target_info;
+mod target_loss;
 mod target_run;
 
 pub use crate::{
@@ -37,5 +39,6 @@
     routed_job::RoutedJob,
     target::{LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
     target_info::TargetInfo,
+    target_loss::{LossCause, LossCount, MAX_LOST_TARGETS, TargetLoss, TargetLosses},
     target_run::{EndedRun, RunPhase, TargetRun},
 };
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -73,6 +73,8 @@
     /// Whether a listing request failed although this process was not delayed itself.
     silent: bool,
     removed: bool,
+    /// Time at which a loss of the target was recorded that its next listing can settle.
+    loss_recorded_at_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -105,6 +107,7 @@
             unreachable: false,
             silent: false,
             removed: false,
+            loss_recorded_at_ms: None,
         }
     }
 
@@ -163,6 +166,24 @@
         self.token_offset
     }
 
+    /// Returns the start of the incarnation that last sent a listing, or else of the one in the
+    /// target list, in ms since 1970.
+    pub fn started_unix_ms(&self) -> u64 {
+        self.clock.map_or(self.info.started_unix_ms, |clock| clock.started_unix_ms)
+    }
+
+    /// Records that the target was lost while it ran tasks; the next listing shows whether it
+    /// crashed.
+    pub const fn set_loss_recorded(&mut self, now_ms: u64) {
+        self.loss_recorded_at_ms = Some(now_ms);
+    }
+
+    /// Returns whether a listing that was requested at `requested_at_ms` shows what became of the
+    /// target since it was lost. Returns `true` once for each loss.
+    pub fn take_settled_loss(&mut self, requested_at_ms: u64) -> bool {
+        self.loss_recorded_at_ms.take_if(|at_ms| requested_at_ms >= *at_ms).is_some()
+    }
+
     /// Returns the runs that occupy capacity on the target.
     pub fn runs(&self) -> &[TargetRun] {
         &self.runs
