Await the demand of unknown runs on targets that do not enforce their capacity

Cause: a new owner took the CPU use that a target reports for a run of an earlier owner for the demand of the run, until the run's job arrived. The use is a rough figure of the last half second and is near 0 after a start, so the target looked free; a target that does not enforce its capacity then started more than fits. Class: an observation used in place of a reservation. The same holds after a restart of a target under its id: its entry in the target list may still describe the incarnation before.

Such targets now get no task until every run's demand is known, by adoption or by the end of the run, and until their entry describes their incarnation. Whether a service's targets enforce their capacity comes from the configuration; those that do reject what does not fit and are used as before.

Ruled out: orders of the earlier owner after the first listing (the starts that broke the rule were sent by the new owner; lower tokens are rejected).

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -12,6 +12,7 @@
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
         losses::TASK_CRASHES_TARGETS,
+        place::may_start_on,
     },
 };
 
@@ -192,7 +193,8 @@
     ///
     /// Queued jobs are not considered, since capacity that is free now does not fit their tasks.
     fn has_capacity_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
-        let usable = targets.iter().filter(|target| target.is_usable(now_ms));
+        let queue = &job.submission().queue;
+        let usable = targets.iter().filter(|target| may_start_on(target, queue, now_ms));
         let mut free: Vec<(&TargetInfo, Capacity)> =
             usable.map(|target| (target.info(), target.free())).collect();
         let mut unplaced = 0;
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -8,8 +8,8 @@
 use ggb_telemetry::log_job_event;
 
 use crate::{
-    Action, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS, PART_EXPIRY_MS, Run,
-    StepSpec, Target, TaskId,
+    Action, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS, PART_EXPIRY_MS, QueueRules,
+    Run, StepSpec, Target, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -132,10 +132,9 @@
         now_ms: u64,
     ) -> Option<usize> {
         let step = job.step(task);
-        let service = &job.submission().queue.service;
+        let queue = &job.submission().queue;
         let fits = |target: &Target| {
-            target.info().service == *service
-                && target.is_usable(now_ms)
+            may_start_on(target, queue, now_ms)
                 && target.free().fits(&step.demand)
                 && target.info().has_label(step.required_label.as_deref())
                 && is_below_per_target_limit(target, step, task)
@@ -184,6 +183,15 @@
     }
 }
 
+/// Returns whether tasks of a queue may start on a target now, as far as its free capacity allows.
+///
+/// A target that does not enforce its capacity relies on its owner to know what runs on it.
+pub(super) fn may_start_on(target: &Target, queue: &QueueRules, now_ms: u64) -> bool {
+    target.info().service == queue.service
+        && target.is_usable(now_ms)
+        && (queue.targets_enforce_capacity || target.is_free_capacity_known())
+}
+
 fn is_below_per_target_limit(target: &Target, step: &StepSpec, task: TaskId) -> bool {
     let Some(max) = step.max_per_target else { return true };
     let same_step = |run: &Run| run.task.job == task.job && run.task.step == task.step;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -228,6 +228,10 @@
     pub stretch: f64,
     /// Constant part of the response time objective, in ms.
     pub target_latency_ms: u64,
+    /// Whether the targets reject tasks that exceed their capacity. Others start every task that
+    /// they are told to start.
+    #[serde(default)]
+    pub targets_enforce_capacity: bool,
 }
 
 /// A job together with the state that determines how a dispatcher handles it.
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -194,6 +194,13 @@
         self.info.capacity.saturating_sub(&self.used)
     }
 
+    /// Returns whether [`Target::free`] is certain: the demand of every run is known, and the target's
+    /// entry in the target list describes the incarnation that sends listings.
+    pub fn is_free_capacity_known(&self) -> bool {
+        let describes = |clock: ClockReading| clock.started_unix_ms == self.info.started_unix_ms;
+        self.clock.is_some_and(describes) && self.runs.iter().all(|run| run.is_demand_known)
+    }
+
     /// Returns whether new tasks may be placed on the target now.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         let probing = self.consecutive_failures >= PROBE_AFTER_FAILURES && !self.runs.is_empty();
@@ -318,6 +325,7 @@
         self.insert(TargetRun {
             run,
             demand,
+            is_demand_known: true,
             phase: RunPhase::Ordered,
             phase_since_ms: now_ms,
             is_confirmed: false,
@@ -378,6 +386,7 @@
             target_run.phase = RunPhase::Running;
             target_run.phase_since_ms = now_ms;
             target_run.demand = demand;
+            target_run.is_demand_known = true;
             target_run.expected_ms = expected_ms;
             self.insert(target_run);
         }
@@ -504,6 +513,7 @@
                 None => self.insert(TargetRun {
                     run: listed.run,
                     demand: Capacity { cpu_milli: listed.used_cpu_milli, ..Capacity::default() },
+                    is_demand_known: false,
                     phase: RunPhase::Orphaned,
                     phase_since_ms: now_ms,
                     is_confirmed: true,
--- a/crates/placement/src/target_run.rs
+++ b/crates/placement/src/target_run.rs
@@ -44,6 +44,9 @@
     pub run: Run,
     /// Capacity that is reserved for the run.
     pub demand: Capacity,
+    /// Whether `demand` comes from the job of the run. While no job needs the run, the target's
+    /// report of the CPU time that the run uses takes its place.
+    pub is_demand_known: bool,
     /// Phase of the run; it began at `phase_since_ms`.
     pub phase: RunPhase,
     /// Time at which the phase began.
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -19,6 +19,7 @@
             max_attempts: 1,
             stretch: 1.0,
             target_latency_ms: 1,
+            targets_enforce_capacity: true,
         },
         earlier_runs: EarlierRuns::None,
         part: None,
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -430,6 +430,7 @@
                 max_attempts: 3,
                 stretch: 1.6,
                 target_latency_ms: 60,
+                targets_enforce_capacity: true,
             },
             earlier_runs: EarlierRuns::None,
             part: None,
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -11,6 +11,13 @@
     StepSpec { estimate_ms: 5_000, ..step(1) }
 }
 
+/// Returns a job of one task for targets that start every task that they are told to start.
+fn job_of_unguarded_targets(id: &str) -> Submission {
+    let mut submission = job(id, vec![step(1)]);
+    submission.queue.targets_enforce_capacity = false;
+    submission
+}
+
 cases! {
     job_with_runs_in_any_zone_waits_for_part_expiry(harness: [48]) {
         harness.advance(5_000);
@@ -37,6 +44,41 @@
         assert_eq!(harness.take_starts().len(), 2);
     }
 
+    new_owner_starts_no_task_beside_runs_of_unknown_demand(harness: [32]) {
+        harness.apply_listing(0, &[(run(0, 1), 10)], &[]);
+        harness.submit(job_of_unguarded_targets("00000000000000bb"));
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
+    new_owner_starts_tasks_beside_adopted_runs(harness: [32]) {
+        harness.apply_listing(0, &[(run(0, 1), 10)], &[]);
+        harness.submit(job(JOB, vec![step(1)]));
+        harness.submit(job_of_unguarded_targets("00000000000000bb"));
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
+    restarted_target_gets_no_task_before_its_entry_shows_its_capacity(harness: [32]) {
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        harness.submit(job_of_unguarded_targets("00000000000000bb"));
+        assert_eq!(harness.take_starts(), []);
+        harness.dispatcher.upsert_target(TargetInfo { started_unix_ms: 2, ..target(0, 16) });
+        harness.advance(5);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
+    shrunk_target_gets_no_task_beyond_its_capacity(harness: [32]) {
+        harness.submit(job_of_unguarded_targets(JOB));
+        assert_eq!(harness.take_starts().len(), 1);
+        harness.dispatcher.upsert_target(target(0, 20));
+        harness.submit(job_of_unguarded_targets("00000000000000bb"));
+        assert_eq!(harness.take_starts(), []);
+        harness.dispatcher.upsert_target(target(0, 32));
+        harness.advance(5);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
     lease_renewed_by_earlier_owner_delays_restart(harness: [16, 16]) {
         harness.submit(job(JOB, vec![step(1)]));
         harness.apply_start_outcome(0, run(0, 1), StartOutcome::Accepted);
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -117,12 +117,4 @@
         targets.sort_unstable();
         assert_eq!(targets, ["t-1", "t-2", "t-3"]);
     }
-
-    new_owner_starts_no_task_beside_runs_of_unknown_demand(harness: [32]) {
-        harness.apply_listing(0, &[(run(0, 1), 10)], &[]);
-        harness.submit(job("00000000000000bb", vec![step(1)]));
-        assert_eq!(harness.take_starts(), []);
-        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Done)]);
-        assert_eq!(harness.take_starts().len(), 1);
-    }
 }
