Learn of changed targets from peers while the store rejects a process

Cause: a process that cannot read the store kept its list of targets for as long as that lasted, and asked peers only while it knew no target at all. An owner that the store rejects for seconds, while it serves the targets, went on with a capacity that had shrunk since (and with targets that drain). On targets that do not enforce their capacity that starts more than fits.

While its own reads fail, a process now asks one live peer after another for a list that is newer than its own; a peer without one answers with an empty reply.

Ruled out: longer reads or more retries (the store rejects them all).

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -157,6 +157,16 @@
         self.store.put("servers", standin.id(), entry.to_string().as_bytes());
     }
 
+    /// Writes a target's entry with this capacity to the list of targets.
+    pub fn list_target_with_capacity(&self, index: usize, capacity: Capacity) {
+        let Target { zone, standin, addr } = &self.targets[index];
+        let mut entry = standin.registry_entry(*addr, "svc", &format!("zone-{zone}"), "ready");
+        entry["capacity"] = json!({
+            "cpu": capacity.cpu_milli, "memMb": capacity.memory_mb, "gpu": capacity.gpus,
+        });
+        self.store.put("servers", standin.id(), entry.to_string().as_bytes());
+    }
+
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
         let routes = prefixes.iter().map(|prefix| {
             json!({
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -14,7 +14,7 @@
 use futures::future::join_all;
 use ggb_http::Reply;
 use ggb_membership::{Node, Ownership};
-use ggb_placement::RunEnd;
+use ggb_placement::{Capacity, RunEnd};
 use ggb_standin::{RunRecord, RunSpec, StoreMode};
 use http_types::{Method, StatusCode};
 use nix::sys::signal::Signal;
@@ -232,6 +232,29 @@
         assert!(line.is_some_and(|line| line.contains("00000000000000ab")), "{line:?}");
     }
 
+    owner_that_the_store_rejects_learns_of_shrunk_targets_from_its_peers(67, fleet) {
+        let settings = fs::read_to_string(&fleet.nodes[0].settings).unwrap();
+        let (other_settings, _) = settings.split_once("[platform]").unwrap();
+        let unreachable = format!("{other_settings}[platform]\naddress = \"127.67.9.9:1\"\n");
+        fs::write(&fleet.nodes[0].settings, unreachable).unwrap();
+        fleet.nodes[0].process.signal(Signal::SIGHUP).unwrap();
+        let log = fleet.dir.join("node-0-1.log");
+        fleet.wait_until("the owner has lost the store", || async {
+            fs::read_to_string(&log).unwrap().contains("StoreUnreachable")
+        }).await;
+        let shrunk = Capacity { cpu_milli: 1_000, memory_mb: 64, gpus: 0 };
+        (0..2).for_each(|target| fleet.list_target_with_capacity(target, shrunk));
+        fleet.wait_until("a job leaves the shrunk targets of its zone unused", || async {
+            let records = || {
+                let of_zone = fleet.targets[..2].iter();
+                of_zone.map(|target| target.standin.records().len()).sum::<usize>()
+            };
+            let before = records();
+            let reply = fleet.submit(0, rand::random(), 1, 10).await;
+            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
+        }).await;
+    }
+
     zone_without_ready_targets_runs_jobs_in_the_other_zone(63, fleet) {
         for target in 0..2 {
             fleet.list_target(target, "draining");
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,14 +1,19 @@
 //! Reads the list of targets from the platform's store, or from peers while it is unavailable.
 
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use async_std::task;
 use error_stack::Report;
 use ggb_adapter::{AdapterError, Row, TARGETS_TABLE, VersionedRows, decode_target};
 use ggb_placement::TargetInfo;
 use ggb_telemetry::log_event;
+use http_types::StatusCode;
 
-use crate::shared::Shared;
+use crate::{peer_api::TargetList, shared::Shared};
 
 /// Interval at which the list of targets is read. Within 2 s after a target starts to
 /// drain, it must get no more new work; the platform sets this limit.
@@ -26,7 +31,8 @@
 
 /// Updates the known targets from the list of targets until the process ends.
 pub(crate) async fn watch_targets(shared: Arc<Shared>) {
-    let mut watcher = TargetListWatcher { shared, version: None, missing: Vec::new() };
+    let mut watcher =
+        TargetListWatcher { shared, version: None, missing: Vec::new(), next_peer: 0 };
     loop {
         let delay_ms = match watcher.refresh().await {
             Ok(()) => POLL_INTERVAL_MS,
@@ -47,6 +53,8 @@
     version: Option<u64>,
     /// Known targets without an entry in the list, with the time when that was noticed.
     missing: Vec<(Arc<str>, u64)>,
+    /// Index of the peer that is asked next for its list.
+    next_peer: usize,
 }
 
 impl TargetListWatcher {
@@ -69,43 +77,74 @@
         Ok(())
     }
 
-    /// Fetches the list from the live peers until one supplies targets, if no target is known.
+    /// Fetches the list from the live peers until one supplies a newer one.
     ///
-    /// Used while the store can't be read, since a process that starts meanwhile and becomes the
-    /// owner of its zone needs targets.
-    async fn fetch_from_peers(&self) {
+    /// Used while this process can't read the store. A process that starts meanwhile and becomes
+    /// the owner of its zone needs targets, and an owner must learn of targets that drain or whose
+    /// capacity shrinks.
+    async fn fetch_from_peers(&mut self) {
         let now_ms = self.shared.now_ms();
         let peers: Vec<IpAddr> = {
             let ownership = self.shared.ownership.lock();
             let alive = ownership.peers().iter().filter(|peer| peer.is_alive(now_ms));
             alive.map(|peer| peer.heartbeat.node.ip).collect()
         };
-        for ip in peers {
-            if !self.shared.targets.lock().is_empty() {
+        // Most peers have the same list, so one is enough unless no target is known.
+        let has_targets = !self.shared.targets.lock().is_empty();
+        let max_peers = if has_targets { 1 } else { peers.len() };
+        let first = self.next_peer % peers.len().max(1);
+        self.next_peer = self.next_peer.wrapping_add(1);
+        for ip in peers.iter().cycle().skip(first).take(max_peers.min(peers.len())) {
+            if self.fetch_from_peer(*ip).await {
                 return;
             }
-            let addr = self.shared.peer_addr(ip);
-            let fetched = self.shared.http.get(addr, "/targets", PEER_TIMEOUT_MS).await;
-            let Ok(reply) = fetched else { continue };
-            match serde_json::from_slice::<Vec<TargetInfo>>(&reply.body) {
-                Ok(targets) => {
-                    let changed = targets.iter().filter(|info| self.update_target(info)).count();
-                    let targets = targets.len();
-                    log_event!(info, TargetListLoaded, targets, changed, peer = %addr);
-                }
-                Err(error) => {
-                    log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
-                }
+        }
+    }
+
+    /// Fetches the list of a peer. Returns whether it is newer than the known one.
+    async fn fetch_from_peer(&mut self, ip: IpAddr) -> bool {
+        let addr = self.shared.peer_addr(ip);
+        let known_version = self.shared.targets_version.load(Ordering::Relaxed);
+        let path = format!("/targets?known={known_version}");
+        let fetched = self.shared.http.get(addr, &path, PEER_TIMEOUT_MS).await;
+        // A peer that can't be reached is like one without a newer list.
+        let Ok(reply) = fetched else { return false };
+        if reply.status == StatusCode::NoContent {
+            return false;
+        }
+        match serde_json::from_slice::<TargetList>(&reply.body) {
+            Ok(list) if list.version > known_version => {
+                self.apply_list(&list, addr);
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
+                false
             }
         }
     }
 
+    fn apply_list(&mut self, list: &TargetList, peer: SocketAddr) {
+        self.record_missing_targets(|id| list.targets.iter().any(|info| *info.id == *id));
+        self.missing.retain(|(id, _)| !list.targets.iter().any(|info| info.id == *id));
+        let changed = list.targets.iter().filter(|info| self.update_target(info)).count();
+        self.set_version(list.version);
+        let targets = list.targets.len();
+        log_event!(info, TargetListLoaded, targets, changed, peer = %peer);
+    }
+
+    fn set_version(&mut self, version: u64) {
+        self.version = Some(version);
+        self.shared.targets_version.store(version, Ordering::Relaxed);
+    }
+
     fn apply(&mut self, update: &VersionedRows) {
         let is_whole_list = self.version.is_none();
         if is_whole_list {
-            self.record_missing_targets(&update.rows);
+            self.record_missing_targets(|id| update.rows.iter().any(|row| row.key == *id));
         }
-        self.version = Some(update.version);
+        self.set_version(update.version);
         let changed = update.rows.iter().filter_map(|row| self.apply_row(row));
         let changed: Vec<TargetInfo> = changed.collect();
         // After a restart of all VMs, a line for each target would take small VMs longer than the
@@ -118,13 +157,13 @@
         }
     }
 
-    /// Records the known targets that have no row in `rows`, the complete list, as missing.
-    fn record_missing_targets(&mut self, rows: &[Row]) {
+    /// Records the known targets that are not listed in the complete list as missing.
+    fn record_missing_targets(&mut self, is_listed: impl Fn(&str) -> bool) {
         let now_ms = self.shared.now_ms();
         let known: Vec<Arc<str>> =
             self.shared.targets.lock().iter().map(|target| Arc::clone(&target.id)).collect();
         for id in known {
-            if !rows.iter().any(|row| row.key == *id) {
+            if !is_listed(&id) {
                 self.record_missing(id, now_ms);
             }
         }
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -1,13 +1,17 @@
 //! HTTP interface between the processes: jobs, configuration and target list.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use async_std::future::timeout;
 use ggb_http::{
     ClientConnection, HttpServer, Sent, ServerLimits, json_response, json_text_response, read_body,
 };
 use ggb_membership::MessageSender;
-use ggb_placement::{JobAnswer, Submission};
+use ggb_placement::{JobAnswer, Submission, TargetInfo};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -42,6 +46,16 @@
     },
 }
 
+/// The list of targets as a process knows it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct TargetList {
+    /// Version of the store up to which the list is current; 0 if it was never read.
+    pub(crate) version: u64,
+    /// The targets of all zones, sorted by id.
+    pub(crate) targets: Vec<TargetInfo>,
+}
+
 /// A job that a process sends to an owner.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,8 +93,14 @@
             None => Response::new(StatusCode::NotFound),
         },
         (Method::Get, "/targets") => {
+            let version = shared.targets_version.load(Ordering::Relaxed);
+            let mut query = request.url().query_pairs();
+            let known = query.find(|(name, _)| name == "known").map(|(_, value)| value.parse());
+            if known.is_some_and(|known| known == Ok(version)) {
+                return Response::new(StatusCode::NoContent);
+            }
             let targets = shared.targets.lock().clone();
-            json_response(StatusCode::Ok, &targets)
+            json_response(StatusCode::Ok, &TargetList { version, targets })
         }
         _ => json_text_response(StatusCode::NotFound, "{}"),
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -58,6 +58,8 @@
     pub(crate) ownership: Mutex<Ownership>,
     /// The targets of all zones in the platform's list, sorted by id.
     pub(crate) targets: Mutex<Vec<TargetInfo>>,
+    /// Version of the store up to which `targets` is current; 0 before the first read.
+    pub(crate) targets_version: AtomicU64,
     /// Addresses of the other processes, sorted.
     pub(crate) peers: Mutex<Vec<IpAddr>>,
     /// Receives a message after an address was added to `peers`.
@@ -97,6 +99,7 @@
             owner: ArcSwapOption::empty(),
             ownership: Mutex::new(ownership),
             targets: Mutex::new(Vec::new()),
+            targets_version: AtomicU64::new(0),
             peers: Mutex::new(Vec::new()),
             peer_added,
             peer_added_sender,
