Let restarted processes learn of crashed targets from their peers; soak with such tasks

Cause: heartbeats repeat a loss for 2 s. A process that starts later knew none, so that after a rolling restart of a zone nobody there knew which tasks had crashed targets, and the next owner started to count anew. Found by looking for the incident's cause over restarts.

A process now asks three peers for their losses a second after its start; each owner reports its own to every process, so any peer knows them.

Why the soak missed the incident: none of its tasks crashed a target. From seed 1000 on 3% of its jobs do; earlier seeds stay as they were. Its checker allows a failed job after two crashes under one task, and five crashes at most, which is the users' bound.

Remains: when all processes lose power at once the count begins anew; a task can then crash two more targets for each such loss.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -178,7 +178,7 @@
         let configuration = json!({
             "version": version,
             "routes": routes.collect::<Vec<_>>(),
-            "services": [{ "name": "svc" }],
+            "services": [{ "name": "svc", "enforcesCapacity": true }],
             "limits": { "maxBodyBytes": 262_144 },
         });
         self.store.put("op", "config", configuration.to_string().as_bytes());
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -92,6 +92,28 @@
         assert!(crashed <= 2, "{crashed} targets crashed");
     }
 
+    restarted_process_learns_of_crashed_targets_from_its_peers(68, fleet) {
+        let crashing = RunSpec { crashes: true, ..run_spec(10) };
+        let reply = fleet.submit_with_spec(0, 7, 1, crashing).await.unwrap();
+        assert_eq!(job_state(&reply).as_deref(), Some("failed"));
+        // Until then heartbeats report the crashes.
+        task::sleep(Duration::from_millis(2_500)).await;
+        fleet.nodes[1].process.kill();
+        fs::remove_file(fleet.dir.join("node-0-2.log")).unwrap();
+        fleet.nodes[1].process.restart().unwrap();
+        fleet.wait_until("the restarted process knows of both crashes", || async {
+            let log = fs::read_to_string(fleet.dir.join("node-0-2.log"));
+            log.is_ok_and(|log| log.matches("TargetLossLearned").count() >= 2)
+        }).await;
+        fleet.nodes[0].process.kill();
+        fleet.wait_until("the resubmitted job has failed", || async {
+            let reply = fleet.submit_with_spec(1, 7, 1, crashing).await;
+            reply.is_some_and(|reply| job_state(&reply).as_deref() == Some("failed"))
+        }).await;
+        let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
+        assert!(crashed <= 2, "{crashed} targets crashed");
+    }
+
     invalid_and_unknown_requests_are_rejected_with_their_status(54, fleet) {
         let kept_job = json!({ "spec": "x", "steps": [{ "count": 1 }] }).to_string().into_bytes();
         let path = format!("{PATH_PREFIX}{:016x}", 1);
--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -240,7 +240,8 @@
     let mut soak = Soak { fleet, relay, is_down, version: 1, violations: Vec::new() };
     let started_at = Instant::now();
     let callers = (0..plan.callers as u64).map(|caller| {
-        callers::send_jobs_until(seed << 8 | caller, Arc::clone(&nodes), started_at, TRAFFIC_MS)
+        let (seed, nodes) = (seed << 8 | caller, Arc::clone(&nodes));
+        callers::send_jobs_until(seed, plan.crash_percent, nodes, started_at, TRAFFIC_MS)
     });
     let traffic = task::spawn(join_all(callers));
     soak.run_plan(&plan, started_at).await;
@@ -273,7 +274,8 @@
 ///   panic.
 /// * 312: an owner that is cut off offloads tasks after the next owner has taken over; the
 ///   next owner must not start them too.
-const SEEDS: [u64; 5] = [1, 2, 4, 201, 312];
+/// * 1000: jobs that crash the targets that start them.
+const SEEDS: [u64; 6] = [1, 2, 4, 201, 312, 1_000];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/greengagebeam/tests/soak/callers.rs
+++ b/crates/greengagebeam/tests/soak/callers.rs
@@ -101,8 +101,11 @@
 }
 
 /// Sends jobs one after the other until `until_ms` after `started_at`; returns all jobs.
+///
+/// Of the jobs, `crash_percent` crash each target that starts one of their tasks.
 pub async fn send_jobs_until(
     seed: u64,
+    crash_percent: u32,
     nodes: Arc<[SocketAddr]>,
     started_at: Instant,
     until_ms: u64,
@@ -113,6 +116,7 @@
     let mut jobs = Vec::new();
     while elapsed_ms(started_at) < until_ms {
         let mut job = random_job(&mut rng);
+        job.run_spec.crashes = crash_percent > 0 && rng.random_range(0..100) < crash_percent;
         for _ in 0..MAX_REQUESTS_PER_JOB {
             let node = rng.random_range(0..nodes.len());
             let request = send_job(&client, nodes[node], node, &job, started_at).await;
--- a/crates/greengagebeam/tests/soak/checker.rs
+++ b/crates/greengagebeam/tests/soak/checker.rs
@@ -16,6 +16,12 @@
 /// Maximum number of runs of a task, the `maxAttempts` of the queue.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Number of targets that crash under a task after which its job may be reported as failed.
+const MIN_CRASHES_OF_FAILED_TASK: usize = 2;
+
+/// Number of targets that may crash under a task: the users allow two starts after the third crash.
+const MAX_CRASHES: usize = 5;
+
 /// Returns a description of each violated invariant.
 pub fn violations(jobs: &[CallerJob], records: &[RunRecord], planned_only: bool) -> Vec<String> {
     let pairs = concurrent_runs(records).into_iter();
@@ -48,8 +54,11 @@
         runs.filter(move |record| record.end == end)
     };
     let all_done = tasks.iter().all(|task| runs_with_end(*task, RunEnd::Done).count() > 0);
-    let any_exhausted =
-        tasks.iter().any(|task| runs_with_end(*task, RunEnd::Failed).count() >= MAX_ATTEMPTS);
+    let crashes = |task: &(u16, u16)| runs_with_end(*task, RunEnd::Lost).count();
+    let any_exhausted = tasks.iter().any(|task| {
+        runs_with_end(*task, RunEnd::Failed).count() >= MAX_ATTEMPTS
+            || crashes(task) >= MIN_CRASHES_OF_FAILED_TASK
+    });
     let started_early = |record: &RunRecord| {
         let (step, _) = task_position(record);
         let mut before = tasks.iter().filter(|(earlier, _)| *earlier < step);
@@ -68,7 +77,11 @@
         (job.was_reported("completed") && !all_done, "reported completed, but a task is not done"),
         (
             job.was_reported("failed") && !any_exhausted,
-            "reported failed, but no task used all attempts",
+            "reported failed, but no task used all attempts or crashed two targets",
+        ),
+        (
+            tasks.iter().any(|task| crashes(task) > MAX_CRASHES),
+            "a task was started three times after three targets had crashed under it",
         ),
         (job.was_refused() && !records.is_empty(), "refused, but a task was started"),
         (planned_only && lost_response, "no response, although all faults were planned operations"),
--- a/crates/greengagebeam/tests/soak/plan.rs
+++ b/crates/greengagebeam/tests/soak/plan.rs
@@ -12,6 +12,13 @@
 /// Maximum time at which the last fault ends.
 const MAX_FAULT_END_MS: u64 = 8_000;
 
+/// First seed of which some jobs crash the targets that start them. Earlier seeds stay as they were
+/// when they failed.
+const FIRST_SEED_WITH_CRASHES: u64 = 1_000;
+
+/// Share of the jobs that crash targets, from [`FIRST_SEED_WITH_CRASHES`] on.
+const CRASH_PERCENT: u32 = 3;
+
 /// Endpoint of the traffic that a link fault affects.
 #[derive(Clone, Copy, Debug)]
 pub enum LinkEndpoint {
@@ -84,6 +91,8 @@
     /// Faults, sorted by start.
     pub faults: Vec<ScheduledFault>,
     pub callers: usize,
+    /// Share of the jobs that crash each target that starts them.
+    pub crash_percent: u32,
 }
 
 impl FaultPlan {
@@ -113,7 +122,9 @@
             })
             .collect();
         faults.sort_by_key(|scheduled| scheduled.start_ms);
-        FaultPlan { size, planned_only, faults, callers: rng.random_range(4..=24) }
+        let callers = rng.random_range(4..=24);
+        let crash_percent = if seed < FIRST_SEED_WITH_CRASHES { 0 } else { CRASH_PERCENT };
+        FaultPlan { size, planned_only, faults, callers, crash_percent }
     }
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -44,10 +44,6 @@
 /// Interval of [`Dispatcher::tick`] while the dispatcher has no jobs.
 const IDLE_TICK_INTERVAL_MS: u64 = 100;
 
-/// Time for which heartbeats repeat a loss of a target, so that processes that miss some of them
-/// learn of it.
-const LOSS_REPORT_MS: u64 = 2_000;
-
 /// Size of the range of part numbers that belongs to one token; the ranges of consecutive
 /// tokens are adjacent, so more parts under one token would reuse the numbers of the next.
 const MAX_PARTS_PER_TOKEN: u64 = 1_024;
@@ -164,10 +160,15 @@
         self.update(|dispatcher, now_ms| dispatcher.merge_target_losses(losses, now_ms));
     }
 
-    /// Returns up to `max` losses of targets that became known or changed within the last
-    /// [`LOSS_REPORT_MS`]; if there are more, successive rounds return different ones.
-    pub(crate) fn recent_target_losses(&self, max: usize, round: u64) -> Vec<TargetLoss> {
-        let since_ms = self.shared.now_ms().saturating_sub(LOSS_REPORT_MS);
+    /// Returns up to `max` losses of targets that became known or changed within the last `age_ms`;
+    /// if there are more, successive rounds return different ones.
+    pub(crate) fn recent_target_losses(
+        &self,
+        max: usize,
+        round: u64,
+        age_ms: u64,
+    ) -> Vec<TargetLoss> {
+        let since_ms = self.shared.now_ms().saturating_sub(age_ms);
         let state = self.state.lock();
         let losses = state.dispatcher.target_losses();
         let count = losses.updated_since(since_ms).count();
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -102,6 +102,10 @@
             let targets = shared.targets.lock().clone();
             json_response(StatusCode::Ok, &TargetList { version, targets })
         }
+        (Method::Get, "/target-losses") => {
+            let losses = shared.target_losses();
+            json_response(StatusCode::Ok, &losses)
+        }
         _ => json_text_response(StatusCode::NotFound, "{}"),
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -53,6 +53,21 @@
 /// Maximum number of losses of targets in a heartbeat; each takes some 120 bytes.
 const MAX_HEARTBEAT_LOSSES: usize = 16;
 
+/// Time for which heartbeats repeat a loss of a target, so that processes that miss some of them
+/// learn of it.
+const LOSS_REPORT_MS: u64 = 2_000;
+
+/// Time after the start of the process after which it asks its peers for the losses of targets that
+/// they know of. Before that it has more urgent work.
+const LOSS_FETCH_DELAY_MS: u64 = 1_000;
+
+/// Number of peers that are asked for losses of targets. Each owner reports its own to every
+/// process, so one is enough unless it has just started too.
+const LOSS_FETCH_PEERS: usize = 3;
+
+/// Timeout of a request to a peer for its losses of targets.
+const LOSS_FETCH_TIMEOUT_MS: u64 = 500;
+
 /// A heartbeat with the losses of targets that its sender, an owner, has recently learned of.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -84,6 +99,33 @@
     Ok(())
 }
 
+/// Learns from peers which targets were lost under which tasks before this process started.
+pub(crate) async fn fetch_target_losses(shared: Arc<Shared>) {
+    task::sleep(Duration::from_millis(LOSS_FETCH_DELAY_MS)).await;
+    let mut peers = shared.peers.lock().clone();
+    // Processes that start at the same time ask different peers.
+    let offset = peers.partition_point(|ip| *ip < shared.settings.ip);
+    peers.rotate_left(offset);
+    let mut answers = 0;
+    for ip in peers {
+        let addr = shared.peer_addr(ip);
+        let fetched = shared.http.get(addr, "/target-losses", LOSS_FETCH_TIMEOUT_MS).await;
+        // The next peer is as good as one that can't be reached.
+        let Ok(reply) = fetched else { continue };
+        match serde_json::from_slice::<Vec<TargetLoss>>(&reply.body) {
+            Ok(losses) => shared.merge_target_losses(&losses),
+            Err(error) => {
+                log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
+                continue;
+            }
+        }
+        answers += 1;
+        if answers == LOSS_FETCH_PEERS {
+            return;
+        }
+    }
+}
+
 async fn receive_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
@@ -251,7 +293,8 @@
     let is_owner = heartbeat.claim_token.is_some();
     let round = now_ms / HEARTBEAT_INTERVAL_MS;
     let owner = shared.owner.load_full();
-    let target_losses = owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round));
+    let target_losses =
+        owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round, LOSS_REPORT_MS));
     let target_losses = target_losses.unwrap_or_default();
     let message = HeartbeatMessage { heartbeat, target_losses };
     let message = serde_json::to_vec(&message)
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -23,7 +23,7 @@
     configuration::watch_configuration,
     directory::watch_targets,
     peer_api::bind_peer_api,
-    peers::{maintain_membership, spawn_heartbeats},
+    peers::{fetch_target_losses, maintain_membership, spawn_heartbeats},
     settings_file::SettingsFile,
     shared::Shared,
 };
@@ -125,6 +125,7 @@
         let heartbeats = spawn_heartbeats(Arc::clone(&shared), peer_addr).await;
         heartbeats.change_context_lazy(bind_error("heartbeats", peer_addr))?;
         task::spawn(maintain_membership(Arc::clone(&shared)));
+        task::spawn(fetch_target_losses(Arc::clone(&shared)));
         task::spawn(watch_configuration(Arc::clone(&shared)));
         task::spawn(watch_targets(Arc::clone(&shared)));
         let settings_file = Arc::new(SettingsFile::load(path, Arc::clone(&shared)));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -167,6 +167,18 @@
         self.ready.swap(ready, Ordering::Relaxed) != ready
     }
 
+    /// Returns the losses of targets that this process knows of.
+    pub(crate) fn target_losses(&self) -> Vec<TargetLoss> {
+        let mut losses = self.target_losses.lock().clone();
+        if let Some(owner) = self.owner.load_full() {
+            let now_ms = self.now_ms();
+            owner.recent_target_losses(usize::MAX, 0, now_ms).iter().for_each(|loss| {
+                losses.merge(loss, now_ms);
+            });
+        }
+        losses.updated_since(0).cloned().collect()
+    }
+
     /// Remembers losses of targets, and passes new ones to the owner in this process.
     pub(crate) fn merge_target_losses(&self, losses: &[TargetLoss]) {
         let now_ms = self.now_ms();
