Reject jobs whose numbers would overflow the sums of a dispatcher

Cause: a job with a demand or an estimate near the largest number was admitted to the sums over targets and queues. In a build with overflow checks the owner panicked on it, lost its tick, and answered no job of its zone any more; an optimized build computed with wrapped sums.

Demand and declared run time of a task now have bounds that are checked when a job is decoded, with an error that names them; sums over queued work saturate.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -114,6 +114,31 @@
         assert!(crashed <= 2, "{crashed} targets crashed");
     }
 
+    jobs_with_extreme_numbers_leave_every_owner_serving(69, fleet) {
+        let numbers = [
+            ("cpu", u64::MAX), ("memMb", u64::MAX), ("gpu", u64::MAX), ("estimateMs", u64::MAX),
+            ("cpu", 10_000_000), ("memMb", 1 << 30), ("gpu", 100_000),
+        ];
+        for (job, (field, value)) in numbers.iter().enumerate() {
+            let mut step = json!({ "count": 1_024, "cpu": 1, "memMb": 1, "estimateMs": 1 });
+            step[*field] = json!(value);
+            let body = json!({ "spec": "{}", "bestEffort": true, "steps": [step] });
+            for node in 0..4 {
+                let path = format!("{PATH_PREFIX}{:016x}", 0x5000 + job * 4 + node);
+                let body = body.to_string().into_bytes();
+                let reply = fleet.call(node, Method::Post, &path, body).await.unwrap();
+                let expected = match *value {
+                    u64::MAX => StatusCode::BadRequest,
+                    _ => StatusCode::ServiceUnavailable,
+                };
+                assert_eq!(reply.status, expected, "{field}: {value}");
+            }
+        }
+        for node in 0..4 {
+            assert_completed(fleet.submit(node, node as u64, 2, 30).await);
+        }
+    }
+
     invalid_and_unknown_requests_are_rejected_with_their_status(54, fleet) {
         let kept_job = json!({ "spec": "x", "steps": [{ "count": 1 }] }).to_string().into_bytes();
         let path = format!("{PATH_PREFIX}{:016x}", 1);
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -231,16 +231,17 @@
     fn expected_wait(&self, job: &JobState) -> ExpectedWait {
         let entry = job.queue_entry();
         let ahead = self.queue.iter().take_while(|ahead| ahead.priority <= entry.priority);
-        let ahead_work: u64 =
-            ahead.filter_map(|ahead| self.job(ahead.job)).map(JobState::waiting_work).sum();
+        let ahead_work = ahead.filter_map(|ahead| self.job(ahead.job)).map(JobState::waiting_work);
+        let ahead_work = ahead_work.fold(0, u64::saturating_add);
         let load = self.load();
         let rate = (load.total_cpu_milli * USABLE_CPU_PERCENT / 100).max(1);
         // Work is in thousandths of a core times ms; the free CPU absorbs work for as long as the
         // job's longest task is expected to run.
-        let free_work = load.free_cpu_milli * job.expected_ms.iter().max().copied().unwrap_or(0);
+        let longest_ms = job.expected_ms.iter().max().copied().unwrap_or(0);
+        let free_work = load.free_cpu_milli.saturating_mul(longest_ms);
         ExpectedWait {
             first_ms: ahead_work.saturating_sub(free_work) / rate,
-            last_ms: (ahead_work + job.waiting_work()).saturating_sub(free_work) / rate,
+            last_ms: ahead_work.saturating_add(job.waiting_work()).saturating_sub(free_work) / rate,
         }
     }
 
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -251,9 +251,9 @@
     pub(super) fn waiting_work(&self) -> u64 {
         let work = |task: &TaskEntry| {
             let expected_ms = self.expected_ms[usize::from(task.id.step)];
-            self.step(task.id).demand.cpu_milli * expected_ms
+            self.step(task.id).demand.cpu_milli.saturating_mul(expected_ms)
         };
-        self.waiting_entries().map(work).sum()
+        self.waiting_entries().map(work).fold(0, u64::saturating_add)
     }
 
     /// Returns whether all steps that `task` depends on are done.
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -12,6 +12,12 @@
 /// Maximum number of tasks in a job; the largest job that users submit has 110.
 pub const MAX_TASKS_PER_JOB: usize = 1_024;
 
+/// Maximum demand of a task, far beyond the largest targets. Sums over all queued tasks stay exact.
+const MAX_DEMAND: Capacity = Capacity { cpu_milli: 10_000_000, memory_mb: 1 << 30, gpus: 100_000 };
+
+/// Maximum declared run time of a task: 30 days.
+const MAX_ESTIMATE_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
+
 /// Job identifier of 16 hexadecimal digits, chosen by the caller.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -173,7 +179,8 @@
 }
 
 impl BatchJob {
-    /// Checks that the number of tasks is allowed and that steps depend only on earlier steps.
+    /// Checks that the number of tasks, their demand and their declared run time are within their
+    /// bounds, and that steps depend only on earlier steps.
     ///
     /// # Errors
     ///
@@ -184,6 +191,22 @@
             return Err(ValidationError::new("steps", task_count, "1 to 1024 tasks"));
         }
         for (step_index, step) in self.steps.iter().enumerate() {
+            if !MAX_DEMAND.fits(&step.demand) {
+                let demand = format!("{:?}", step.demand);
+                return Err(ValidationError::new(
+                    "steps",
+                    demand,
+                    "at most 10,000 cores, 1 PiB and 100,000 accelerators for a task",
+                ));
+            }
+            if step.estimate_ms > MAX_ESTIMATE_MS {
+                let estimate = format!("{} ms", step.estimate_ms);
+                return Err(ValidationError::new(
+                    "steps",
+                    estimate,
+                    "a run time of at most 30 days",
+                ));
+            }
             if let Some(invalid) =
                 step.after.iter().find(|after| usize::from(**after) >= step_index)
             {
