--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,7 +15,7 @@
 use ggb_http::HttpClient;
 use ggb_membership::{Ownership, VersionGossip};
 use ggb_placement::{RunTimes, TargetInfo, TargetLoss, TargetLosses};
-use ggb_telemetry::log_event;
+use ggb_telemetry::log_job_event;
 use parking_lot::Mutex;
 
 use crate::{NodeMetrics, open_requests::OpenRequests, owner::Owner};
@@ -188,8 +188,8 @@
             losses.iter().filter(|loss| known.merge(loss, now_ms)).collect()
         };
         for loss in &new_losses {
-            log_event!(
-                info, TargetLossLearned, task = %loss.task, target = %loss.target,
+            log_job_event!(
+                loss.task.job.is_sampled(), TargetLossLearned, task = %loss.task, target = %loss.target,
                 cause = ?loss.cause
             );
         }
