--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -125,7 +125,7 @@
     /// A run ended without a listed end: its target restarted, no longer lists it, or was
     /// unreachable until its lease expired.
     RunLost = 627,
-    /// Another process reported a target that was lost while it ran a task.
+    /// Another process reported a target that was lost while it ran a task, or what became of it.
     TargetLossLearned = 628,
     /// A target sent its first listing to this dispatcher and now rejects lower fencing tokens.
     TargetOwned = 640,
