Answer from sealed sessions while their table is handed off

Cause: sealing dropped the session table from the home at once, and the process kept the sealed copy only after it had offered it to its peers, which takes up to 3 s for each peer that does not answer. A request in that window, also one that had waited for its job to end, found no session.

A sealed home now keeps the sealed table and answers every kind of request from it; seal swaps the two under one lock, so that there is no window.

Evidence: the new scenario cuts and freezes the peers, so that the window lasts for seconds, and failed with the symptom before (line 15: got unknown, session_unknown, ask_again false).

--- a/crates/entry/src/home.rs
+++ b/crates/entry/src/home.rs
@@ -39,8 +39,19 @@
 enum Authority {
     /// The process accepts submissions and starts their tasks.
     Active(SessionTable),
-    /// The session table was sealed and handed off; the process starts no more tasks.
-    Sealed,
+    /// The session table was sealed; the process starts no more tasks.
+    ///
+    /// The table still answers callers, also while it is handed off.
+    Sealed(SealedTable),
+}
+
+impl Authority {
+    fn status(&mut self, id: SubmissionId, now_ms: u64) -> SubmissionStatus {
+        match self {
+            Authority::Active(table) => table.lookup(&id.session, id.sequence, now_ms),
+            Authority::Sealed(table) => table.lookup(&id.session, id.sequence),
+        }
+    }
 }
 
 struct State {
@@ -122,7 +133,7 @@
         let now_ms = self.clock.now_ms();
         match &mut self.state.lock().authority {
             Authority::Active(table) => table.open(rand::random(), now_ms),
-            Authority::Sealed => {
+            Authority::Sealed(_) => {
                 Err(Refusal { reason: RefusalReason::Draining, retry_after_ms: None })
             }
         }
@@ -158,11 +169,7 @@
         if let Some(job) = job {
             timeout(Duration::from_millis(wait_ms.into()), job.completion().recv()).await.ok();
         }
-        let status = match &mut self.state.lock().authority {
-            Authority::Active(table) => table.lookup(&id.session, id.sequence, self.clock.now_ms()),
-            Authority::Sealed => SubmissionStatus::SessionUnknown,
-        };
-        answer_from_status(status)
+        self.lookup(id)
     }
 
     /// Cancels a submission and returns its outcome.
@@ -171,8 +178,11 @@
     pub(crate) fn cancel(&self, id: SubmissionId) -> EncodedOutcome {
         let (decision, job) = {
             let mut state = self.state.lock();
-            let Authority::Active(table) = &mut state.authority else {
-                return answer_from_status(SubmissionStatus::SessionUnknown);
+            let table = match &mut state.authority {
+                Authority::Active(table) => table,
+                Authority::Sealed(table) => {
+                    return answer_from_status(table.lookup(&id.session, id.sequence));
+                }
             };
             let decision = table.cancel(&id.session, id.sequence, self.clock.now_ms());
             (decision, state.jobs.by_id(&id))
@@ -201,7 +211,7 @@
     pub(crate) fn acknowledge(&self, session: &SessionId, below: Sequence) -> EncodedOutcome {
         let session_known = match &mut self.state.lock().authority {
             Authority::Active(table) => table.acknowledge(session, below, self.clock.now_ms()),
-            Authority::Sealed => false,
+            Authority::Sealed(table) => return answer_from_status(table.lookup(session, below)),
         };
         match session_known {
             true => EncodedOutcome::new(&Outcome::AlreadyAcknowledged),
@@ -225,7 +235,7 @@
     pub(crate) fn running_jobs(&self) -> usize {
         match &self.state.lock().authority {
             Authority::Active(table) => table.running_job_count(),
-            Authority::Sealed => 0,
+            Authority::Sealed(_) => 0,
         }
     }
 
@@ -233,10 +243,18 @@
     ///
     /// Returns `None` if the table was sealed before.
     pub(crate) fn seal(&self) -> Option<SealedTable> {
-        let authority = std::mem::replace(&mut self.state.lock().authority, Authority::Sealed);
-        match authority {
-            Authority::Active(table) => Some(table.seal()),
-            Authority::Sealed => None,
+        let mut state = self.state.lock();
+        let empty = Authority::Sealed(SealedTable::empty(self.id));
+        match std::mem::replace(&mut state.authority, empty) {
+            Authority::Active(table) => {
+                let sealed = table.seal();
+                state.authority = Authority::Sealed(sealed.clone());
+                Some(sealed)
+            }
+            sealed => {
+                state.authority = sealed;
+                None
+            }
         }
     }
 
@@ -296,8 +314,11 @@
     ) -> Result<(), EncodedOutcome> {
         let now_ms = self.clock.now_ms();
         let mut state = self.state.lock();
-        let Authority::Active(table) = &mut state.authority else {
-            return Err(answer_from_status(SubmissionStatus::SessionUnknown));
+        let table = match &mut state.authority {
+            Authority::Active(table) => table,
+            Authority::Sealed(table) => {
+                return Err(answer_from_status(table.lookup(&id.session, id.sequence)));
+            }
         };
         match table.submit(&id.session, id.sequence, body, now_ms) {
             SubmitDecision::New => {}
@@ -384,12 +405,8 @@
     }
 
     fn lookup(&self, id: SubmissionId) -> EncodedOutcome {
-        match &mut self.state.lock().authority {
-            Authority::Active(table) => {
-                answer_from_status(table.lookup(&id.session, id.sequence, self.clock.now_ms()))
-            }
-            Authority::Sealed => answer_from_status(SubmissionStatus::SessionUnknown),
-        }
+        let status = self.state.lock().authority.status(id, self.clock.now_ms());
+        answer_from_status(status)
     }
 }
 
