Report only losses of a zone's own targets in heartbeats

Cause: an owner passed on what it had learned from other owners, so that each loss was sent to every process once by each zone.

A process that misses the heartbeats of an owner learns of its losses only when it starts anew.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -15,7 +15,7 @@
 use ggb_model::Zone;
 use ggb_placement::{
     Action, Dispatcher, EarlierRuns, JobAnswer, Load, MAX_LEASE_MS, PartOutcome, RequestId, Run,
-    Submission, TargetInfo, TargetLoss,
+    Submission, TargetInfo, TargetLoss, TargetLosses,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -160,20 +160,24 @@
         self.update(|dispatcher, now_ms| dispatcher.merge_target_losses(losses, now_ms));
     }
 
-    /// Returns up to `max` losses of targets that became known or changed within the last `age_ms`;
-    /// if there are more, successive rounds return different ones.
+    /// Returns up to `max` losses of this zone's targets that became known or changed at `since_ms`
+    /// or later; if there are more, successive rounds return different ones.
     pub(crate) fn recent_target_losses(
         &self,
         max: usize,
         round: u64,
-        age_ms: u64,
+        since_ms: u64,
     ) -> Vec<TargetLoss> {
-        let since_ms = self.shared.now_ms().saturating_sub(age_ms);
         let state = self.state.lock();
-        let losses = state.dispatcher.target_losses();
-        let count = losses.updated_since(since_ms).count();
-        let first = (round as usize).wrapping_mul(max) % count.max(1);
-        losses.updated_since(since_ms).cycle().skip(first).take(max.min(count)).cloned().collect()
+        let losses = state.dispatcher.own_target_losses(since_ms);
+        let first = (round as usize).wrapping_mul(max) % losses.len().max(1);
+        let count = max.min(losses.len());
+        losses.into_iter().cycle().skip(first).take(count).cloned().collect()
+    }
+
+    /// Returns the losses of targets that the dispatcher knows of.
+    pub(crate) fn target_losses(&self) -> TargetLosses {
+        self.state.lock().dispatcher.target_losses().clone()
     }
 
     /// Returns the current load of the zone's targets.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -68,7 +68,7 @@
 /// Timeout of a request to a peer for its losses of targets.
 const LOSS_FETCH_TIMEOUT_MS: u64 = 500;
 
-/// A heartbeat with the losses of targets that its sender, an owner, has recently learned of.
+/// A heartbeat with recent losses of the targets that its sender owns.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct HeartbeatMessage {
@@ -292,9 +292,10 @@
         shared.configuration.load().as_ref().map_or(0, |current| current.version);
     let is_owner = heartbeat.claim_token.is_some();
     let round = now_ms / HEARTBEAT_INTERVAL_MS;
+    let losses_since_ms = now_ms.saturating_sub(LOSS_REPORT_MS);
     let owner = shared.owner.load_full();
     let target_losses =
-        owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round, LOSS_REPORT_MS));
+        owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round, losses_since_ms));
     let target_losses = target_losses.unwrap_or_default();
     let message = HeartbeatMessage { heartbeat, target_losses };
     let message = serde_json::to_vec(&message)
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -169,13 +169,10 @@
 
     /// Returns the losses of targets that this process knows of.
     pub(crate) fn target_losses(&self) -> Vec<TargetLoss> {
-        let mut losses = self.target_losses.lock().clone();
-        if let Some(owner) = self.owner.load_full() {
-            let now_ms = self.now_ms();
-            owner.recent_target_losses(usize::MAX, 0, now_ms).iter().for_each(|loss| {
-                losses.merge(loss, now_ms);
-            });
-        }
+        // The owner has merged all losses that its process learned.
+        let owner = self.owner.load_full();
+        let losses = owner.map(|owner| owner.target_losses());
+        let losses = losses.unwrap_or_else(|| self.target_losses.lock().clone());
         losses.updated_since(0).cloned().collect()
     }
 
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -22,6 +22,12 @@
         &self.target_losses
     }
 
+    /// Returns the losses of the dispatcher's own targets that were updated at `since_ms` or later.
+    pub fn own_target_losses(&self, since_ms: u64) -> Vec<&TargetLoss> {
+        let recent = self.target_losses.updated_since(since_ms);
+        recent.filter(|loss| self.target_index(&loss.target).is_some()).collect()
+    }
+
     /// Adds losses that another process knows of.
     pub fn merge_target_losses<'a>(
         &mut self,
--- a/crates/placement/src/target_loss.rs
+++ b/crates/placement/src/target_loss.rs
@@ -197,7 +197,7 @@
     }
 
     /// Returns the losses that were updated at `since_ms` or later.
-    pub fn updated_since(&self, since_ms: u64) -> impl Iterator<Item = &TargetLoss> + Clone {
+    pub fn updated_since(&self, since_ms: u64) -> impl Iterator<Item = &TargetLoss> {
         let recent = self.losses.iter().filter(move |known| known.updated_at_ms >= since_ms);
         recent.map(|known| &known.loss)
     }
