Start tasks of lost targets alone, and blame a task only if it ran alone

A task had ended just before its target crashed, without a listing that showed it, then started beside the task that had crashed the target, on the next one that crashed. To the owner both targets crashed under it. Keeping such tasks apart "as far as capacity allows" does not do so when it matters.

A task that lost a target now starts only on a target that runs nothing else, and nothing else starts there meanwhile. A second crash then shows which task is to blame, and harms no other task. A job fails if two targets crashed after they had started its task, one of them alone, or if three crashed.

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -11,7 +11,6 @@
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
-        losses::TASK_CRASHES_TARGETS,
         place::may_start_on,
     },
 };
@@ -56,8 +55,7 @@
             self.actions.push(Action::Answer { request, answer });
             return;
         }
-        if let Some(task) = self.target_losses.deadly_task(id) {
-            log_event!(info, JobFailed, job = %id, task = %task, reason = TASK_CRASHES_TARGETS);
+        if self.find_deadly_task(id).is_some() {
             self.actions.push(Action::Answer { request, answer: JobAnswer::Failed });
             return;
         }
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -1,21 +1,19 @@
 //! Tasks under which targets were lost.
 //!
 //! A target that crashes takes all of its runs with it, and which of them is to blame is not known.
-//! Each of their tasks counts the loss, is kept apart from other tasks when it starts again, and is
-//! given up once too many targets have crashed under it.
+//! Each of their tasks counts the loss, and starts again only on a target that runs nothing else, so
+//! that another crash harms no other task and shows which task is to blame. Its job then fails.
 
 use std::sync::Arc;
 
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobAnswer, JobId, Listing, LossCause, TargetInfo, TargetLoss, TargetLosses, TaskId,
+    Dispatcher, JobAnswer, JobId, Listing, LossCause, StartRule, Target, TargetInfo, TargetLoss,
+    TargetLosses, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
-/// Reason in the log for the failure of a job.
-pub(super) const TASK_CRASHES_TARGETS: &str = "its task crashes targets";
-
 impl Dispatcher {
     /// Returns the known losses of targets, for the other processes.
     pub const fn target_losses(&self) -> &TargetLosses {
@@ -53,6 +51,20 @@
         !self.target_losses.is_empty() && self.target_losses.count(task).is_suspect()
     }
 
+    /// Returns whether a task may start on a target, as far as lost targets matter.
+    pub(super) fn may_share_target(&self, task: TaskId, target: &Target) -> bool {
+        if self.target_losses.is_empty() {
+            return true;
+        }
+        let runs_alone =
+            |task: TaskId| self.target_losses.count(task).start_rule() != StartRule::Anywhere;
+        match self.target_losses.count(task).start_rule() {
+            StartRule::Anywhere => !target.runs().iter().any(|run| runs_alone(run.run.task)),
+            StartRule::Alone => target.runs().is_empty(),
+            StartRule::Never => false,
+        }
+    }
+
     /// Records that a target was lost with all of its runs.
     ///
     /// A draining target may have left, which ends its runs as well.
@@ -76,6 +88,7 @@
                 revision: 0,
                 cause,
                 has_started: target_run.is_confirmed,
+                was_alone: target.runs().len() == 1,
             };
             self.target_losses.record(loss, now_ms);
         }
@@ -127,18 +140,22 @@
         }
     }
 
-    /// Fails the jobs with a task that must not be started any more.
+    /// Returns the task that makes a job fail since targets crash under it, and logs it.
+    pub(super) fn find_deadly_task(&self, id: JobId) -> Option<TaskId> {
+        let task = self.target_losses.deadly_task(id)?;
+        log_event!(info, JobFailed, job = %id, task = %task, reason = "the task crashes targets");
+        Some(task)
+    }
+
+    /// Fails the jobs with a task that crashes targets.
     fn fail_deadly_jobs(&mut self, now_ms: u64) {
         if self.target_losses.is_empty() {
             return;
         }
         let open = self.jobs.iter().filter(|job| job.phase() == JobPhase::Open);
-        let deadly: Vec<(JobId, TaskId)> = open
-            .map(JobState::id)
-            .filter_map(|id| Some((id, self.target_losses.deadly_task(id)?)))
-            .collect();
-        for (id, task) in deadly {
-            log_event!(info, JobFailed, job = %id, task = %task, reason = TASK_CRASHES_TARGETS);
+        let deadly = open.map(JobState::id).filter(|id| self.find_deadly_task(*id).is_some());
+        let deadly: Vec<JobId> = deadly.collect();
+        for id in deadly {
             self.finish_job(id, JobAnswer::Failed, now_ms);
         }
     }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -66,9 +66,6 @@
         for task_index in job.startable_tasks() {
             let Some(job) = self.job(id) else { return started };
             let task = &job.tasks[task_index];
-            if !self.target_losses.count(task.id).may_start() {
-                continue;
-            }
             let Some(target_index) =
                 self.choose_target(job, task.id, task.avoided_target.as_deref(), now_ms)
             else {
@@ -123,7 +120,7 @@
     /// Returns the target that fits the task with the least CPU time left over. Targets in the rack
     /// of the task's data come first, and the target where the task failed last comes last.
     ///
-    /// A task that may have crashed a target is kept apart from others, as far as capacity allows.
+    /// A task that may have crashed a target gets a target of its own.
     fn choose_target(
         &self,
         job: &JobState,
@@ -135,21 +132,15 @@
         let queue = &job.submission().queue;
         let fits = |target: &Target| {
             may_start_on(target, queue, now_ms)
+                && self.may_share_target(task, target)
                 && target.free().fits(&step.demand)
                 && target.info().has_label(step.required_label.as_deref())
                 && is_below_per_target_limit(target, step, task)
         };
-        let is_suspect = self.is_suspect(task);
-        let endangered_runs = |target: &Target| {
-            let runs = target.runs().iter();
-            let suspects = runs.filter(|run| self.is_suspect(run.run.task)).count();
-            (suspects, if is_suspect { target.runs().len() } else { 0 })
-        };
         let cost = |target: &Target| {
             let avoided = avoided_target == Some(target.info().id.as_ref());
             let off_rack = !target.info().has_label(step.near_rack.as_deref());
-            let cpu_left_milli = target.free().saturating_sub(&step.demand).cpu_milli;
-            (avoided, endangered_runs(target), off_rack, cpu_left_milli)
+            (avoided, off_rack, target.free().saturating_sub(&step.demand).cpu_milli)
         };
         let candidates = self.targets.iter().enumerate().filter(|(_, target)| fits(target));
         candidates.min_by_key(|(_, target)| cost(target)).map(|(target_index, _)| target_index)
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -39,6 +39,6 @@
     routed_job::RoutedJob,
     target::{LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
     target_info::TargetInfo,
-    target_loss::{LossCause, LossCount, MAX_LOST_TARGETS, TargetLoss, TargetLosses},
+    target_loss::{LossCause, LossCount, StartRule, TargetLoss, TargetLosses},
     target_run::{EndedRun, RunPhase, TargetRun},
 };
--- a/crates/placement/src/target_loss.rs
+++ b/crates/placement/src/target_loss.rs
@@ -10,8 +10,8 @@
 
 use crate::{JobId, TaskId};
 
-/// Number of lost targets at which a task is not started any more.
-pub const MAX_LOST_TARGETS: usize = 2;
+/// Number of crashed targets at which a task is to blame, if one of them ran nothing else.
+const DEADLY_CRASHES: usize = 2;
 
 /// Time for which a loss is remembered after it was last updated. Callers send a job again
 /// within seconds.
@@ -49,6 +49,8 @@
     pub cause: LossCause,
     /// Whether the target had confirmed that it started the task.
     pub has_started: bool,
+    /// Whether the target ran nothing else.
+    pub was_alone: bool,
 }
 
 impl TargetLoss {
@@ -94,7 +96,9 @@
             Ok(index) if self.losses[index].loss.evidence() >= loss.evidence() => false,
             Ok(index) => {
                 let mut loss = loss.clone();
-                loss.has_started |= self.losses[index].loss.has_started;
+                let known = &self.losses[index].loss;
+                loss.has_started |= known.has_started;
+                loss.was_alone &= known.was_alone || known.cause == LossCause::CutOff;
                 self.losses[index] = RememberedLoss { loss, updated_at_ms: now_ms };
                 true
             }
@@ -178,18 +182,21 @@
     pub fn count(&self, task: TaskId) -> LossCount {
         let first = self.losses.partition_point(|known| known.loss.task < task);
         let of_task = self.losses[first..].iter().take_while(|known| known.loss.task == task);
-        of_task.fold(LossCount::default(), |count, known| match known.loss.cause {
-            LossCause::Crashed if known.loss.has_started => {
-                LossCount { crashed: count.crashed + 1, ..count }
+        of_task.fold(LossCount::default(), |mut count, known| {
+            match known.loss.cause {
+                LossCause::Unknown => count.unsettled += 1,
+                LossCause::Crashed => {
+                    count.crashed += 1;
+                    count.started += usize::from(known.loss.has_started);
+                    count.alone += usize::from(known.loss.has_started && known.loss.was_alone);
+                }
+                LossCause::CutOff => {}
             }
-            LossCause::Unknown | LossCause::Crashed => {
-                LossCount { unsettled: count.unsettled + 1, ..count }
-            }
-            LossCause::CutOff => count,
+            count
         })
     }
 
-    /// Returns a task of the job that must not be started any more.
+    /// Returns a task of the job that is to blame for the loss of targets.
     pub fn deadly_task(&self, job: JobId) -> Option<TaskId> {
         let first = self.losses.partition_point(|known| known.loss.task.job < job);
         let of_job = self.losses[first..].iter().take_while(|known| known.loss.task.job == job);
@@ -221,26 +228,50 @@
 /// Number of targets that were lost under a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LossCount {
-    /// Targets that crashed after they had started the task.
+    /// Targets that crashed.
     pub crashed: usize,
-    /// Targets of which it is not known whether they crashed, or whether they had started the task.
+    /// Of these, targets that had started the task.
+    pub started: usize,
+    /// Of these, targets that ran nothing else.
+    pub alone: usize,
+    /// Targets of which it is not known whether they crashed.
     pub unsettled: usize,
 }
 
+/// How a task may be started after targets were lost under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRule {
+    /// On any target.
+    Anywhere,
+    /// Only on a target that runs nothing else, which shows whether the task is to blame.
+    Alone,
+    /// Not before it is known whether targets crashed, or not at all.
+    Never,
+}
+
 impl LossCount {
     /// Returns whether any target may have crashed because of the task.
     pub const fn is_suspect(&self) -> bool {
         self.crashed + self.unsettled > 0
     }
 
-    /// Returns whether the task may be started, which might crash another target.
-    pub const fn may_start(&self) -> bool {
-        self.crashed + self.unsettled < MAX_LOST_TARGETS
+    /// Returns how the task may be started.
+    pub const fn start_rule(&self) -> StartRule {
+        match self.crashed + self.unsettled {
+            0 => StartRule::Anywhere,
+            1 => StartRule::Alone,
+            _ if self.is_deadly() || self.unsettled > 0 => StartRule::Never,
+            _ => StartRule::Alone,
+        }
     }
 
-    /// Returns whether the task must be given up.
+    /// Returns whether the task is to blame for the loss of targets.
+    ///
+    /// A task that always ran beside others is not: it may have ended before its target crashed,
+    /// without a listing that showed it.
     pub const fn is_deadly(&self) -> bool {
-        self.crashed >= MAX_LOST_TARGETS
+        let is_proven = self.started >= DEADLY_CRASHES && self.alone > 0;
+        is_proven || self.crashed > DEADLY_CRASHES
     }
 }
 
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -58,6 +58,29 @@
         assert_eq!(harness.take_starts(), []);
     }
 
+    tasks_of_a_lost_target_start_again_one_at_a_time(harness: [32]) {
+        harness.submit(patient_job(JOB, vec![step(2)]));
+        assert_eq!(crash_started_targets(&mut harness, 1), [2]);
+        let first = harness.take_starts();
+        assert_eq!(first.len(), 1);
+        harness.apply_listing_of_incarnation(10, 0, &[], &[(1, first[0].1, RunEnd::Done)]);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
+    new_task_does_not_join_a_task_of_a_lost_target(harness: [32]) {
+        harness.submit(patient_job(JOB, vec![step(1)]));
+        crash_started_targets(&mut harness, 1);
+        assert_eq!(harness.take_starts().len(), 1);
+        harness.submit(patient_job("00000000000000bb", vec![step(1)]));
+        assert_eq!(harness.take_starts(), []);
+    }
+
+    task_that_crashes_a_target_beside_others_and_one_alone_fails_its_job(harness: [32]) {
+        harness.submit(patient_job(JOB, vec![step(2)]));
+        assert_eq!(crash_started_targets(&mut harness, 2), [2, 1]);
+        assert_eq!(harness.take_answers(), [JobAnswer::Failed]);
+    }
+
     new_owner_gives_up_task_that_crashed_two_targets_of_earlier_owners(harness: [16, 16, 16]) {
         harness.submit(patient_job(JOB, vec![step(1)]));
         crash_started_targets(&mut harness, 2);
