--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -97,3 +97,27 @@
     let share = sim.share_within_objective("confirm");
     assert!(share >= 0.995, "share of jobs within their objective: {share}");
 }
+
+/// Jobs that crash their targets arrive beside a load that fits three zones.
+#[test]
+fn task_that_crashes_targets_takes_other_tasks_down_once_at_most() {
+    const DEADLY: JobShape = JobShape { queue: "deadly", count: 1, crashes: true, ..SLOT_CHECK };
+    for seed in 0..10 {
+        let mut sim = Simulation::new(seed, 3, 6);
+        sim.run_until(1_100);
+        for round in 0..100 {
+            for zone in 0..3 {
+                sim.submit(zone, &CONFIRM);
+            }
+            if round % 10 == 0 {
+                sim.submit(round / 10 % 3, &DEADLY);
+            }
+            sim.run_until(sim.now_ms + 40);
+        }
+        finish_and_check(&mut sim);
+        let crashes = sim.crashes_of("deadly");
+        assert!(crashes.len() <= 20, "seed {seed}: 10 tasks crashed {} targets", crashes.len());
+        let harmful = crashes.iter().filter(|(run_number, lost)| *run_number > 1 && *lost > 0);
+        assert_eq!(harmful.count(), 0, "seed {seed}: {crashes:?}");
+    }
+}
--- a/crates/placement/tests/simulation/check.rs
+++ b/crates/placement/tests/simulation/check.rs
@@ -65,6 +65,28 @@
         }
     }
 
+    /// Returns, for each run of `queue` that crashed its target, the number of the run and the number
+    /// of other runs that were lost with the target.
+    pub fn crashes_of(&self, queue: &str) -> Vec<(u32, usize)> {
+        let is_of_queue = |run: &RunRecord| {
+            let job = run.run.task.job;
+            let mut callers = self.callers.iter();
+            let caller = callers.find(|caller| caller.submission.job.id == job);
+            caller.is_some_and(|caller| *caller.submission.queue.name == *queue)
+        };
+        let mut crashes = Vec::new();
+        for target in &self.targets {
+            let records = target.simulated.records(self.now_ms);
+            let lost: Vec<&RunRecord> =
+                records.iter().filter(|run| run.end == RunEnd::Lost).collect();
+            for crash in lost.iter().filter(|run| is_of_queue(run)) {
+                let lost_with = lost.iter().filter(|run| run.ended_at_ms == crash.ended_at_ms);
+                crashes.push((crash.run.number, lost_with.count() - 1));
+            }
+        }
+        crashes
+    }
+
     /// Returns the share of jobs of a queue that completed within their objective of 1.6 times the
     /// run time plus 60 ms.
     pub fn share_within_objective(&self, queue: &str) -> f64 {
