Count a target as lost when it refuses a connection, and when a lease expires

A refused connection now takes the same path as a failed listing. The expiry of a lease records the loss again, which changes nothing if it is known.

The test failed before (0 losses recorded).

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -283,13 +283,16 @@
             StartOutcome::NoRoom => target.pause_after_no_capacity(now_ms),
             StartOutcome::Unhealthy | StartOutcome::Invalid => target.eject(now_ms),
             StartOutcome::OtherLife => target.mark_removed(),
-            StartOutcome::NotSent => {
-                target.set_unreachable(true);
-            }
-            StartOutcome::OldRun | StartOutcome::TooLate | StartOutcome::Fenced => {}
+            StartOutcome::NotSent
+            | StartOutcome::OldRun
+            | StartOutcome::TooLate
+            | StartOutcome::Fenced => {}
         }
         target.release(run);
         log_event!(warn, StartRefused, run = %run, target = id, outcome = ?outcome);
+        if outcome == StartOutcome::NotSent {
+            self.set_target_reachable(id, false, now_ms);
+        }
         self.request_listing(target_index, now_ms);
         self.requeue_task(run, id, false, now_ms);
         self.place_tasks(now_ms);
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -5,7 +5,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobAnswer, JobId, LEASE_EXPIRY_MS, RefusalReason, RunEnd, RunPhase,
+    Dispatcher, JobAnswer, JobId, LEASE_EXPIRY_MS, LossCause, RefusalReason, RunEnd, RunPhase,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -95,22 +95,21 @@
     }
 
     fn expire_leases(&mut self, now_ms: u64) {
-        let mut expired = Vec::new();
-        for target in &mut self.targets {
+        for target_index in 0..self.targets.len() {
+            let target = &self.targets[target_index];
             let is_unresponsive = target.is_unreachable() || target.is_removed();
-            if is_unresponsive && !target.runs().is_empty() && target.is_lease_expired(now_ms) {
-                log_event!(
-                    warn, LeaseLapsed, target = %target.info().id, runs = target.runs().len()
-                );
-                let target_id = Arc::clone(&target.info().id);
-                let ended = target.expire_runs().into_iter();
-                let lost = ended.filter_map(|ended| ended.target_run);
-                expired.extend(lost.map(|target_run| (Arc::clone(&target_id), target_run)));
+            if !is_unresponsive || target.runs().is_empty() || !target.is_lease_expired(now_ms) {
+                continue;
+            }
+            let id = Arc::clone(&target.info().id);
+            log_event!(warn, LeaseLapsed, target = %id, runs = target.runs().len());
+            let cause = if target.is_removed() { LossCause::Crashed } else { LossCause::Unknown };
+            self.record_target_loss(target_index, cause, now_ms);
+            let ended = self.targets[target_index].expire_runs();
+            for target_run in ended.into_iter().filter_map(|ended| ended.target_run) {
+                self.record_lost_run(&target_run, &id, RunEnd::Lapsed, now_ms);
+                self.requeue_task(target_run.run, &id, false, now_ms);
             }
-        }
-        for (target, target_run) in expired {
-            self.record_lost_run(&target_run, &target, RunEnd::Lapsed, now_ms);
-            self.requeue_task(target_run.run, &target, false, now_ms);
         }
     }
 
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -91,6 +91,17 @@
         assert_eq!(new_owner.take_answers(), [JobAnswer::Failed]);
     }
 
+    target_that_refuses_a_connection_is_lost_with_its_runs(harness: [32, 32]) {
+        harness.submit(patient_job(JOB, vec![step(2)]));
+        let starts = harness.take_starts();
+        let index = target_index(&starts[0].0);
+        harness.apply_start_outcome(index, starts[0].1, StartOutcome::Accepted);
+        harness.apply_start_outcome(index, starts[1].1, StartOutcome::NotSent);
+        let losses = harness.dispatcher.target_losses();
+        assert_eq!(losses.count(starts[0].1.task).unsettled, 1);
+        assert!(!losses.count(starts[1].1.task).is_suspect(), "its start was not sent");
+    }
+
     loss_of_a_target_is_known_before_its_lease_expires(harness: [16, 16]) {
         harness.submit(patient_job(JOB, vec![step(1)]));
         harness.dispatcher.set_target_reachable("t-0", false, harness.now_ms);
