Remove repetition from the change on lost targets; publish a list after applying it

Found by reading the whole change once more:

* whether a run's task may have crashed a target was computed a second way in may_share_target; it calls is_suspect now;
* find_deadly_task returned a task that no caller used; has_deadly_task returns a bool;
* a peer's list of targets was searched row by row for each known target, although it is sorted; it is searched by bisection now;
* the version of the list of targets was published before its rows were applied, so that with several threads a peer could be told "nothing newer" with old rows; the order is swapped, without a test, since the window needs two threads;
* two writers of target entries and one assertion stood twice in the tests of the fleet.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -152,19 +152,25 @@
 
     /// Writes a target's entry with this state to the list of targets.
     pub fn list_target(&self, index: usize, state: &str) {
-        let Target { zone, standin, addr } = &self.targets[index];
-        let entry = standin.registry_entry(*addr, "svc", &format!("zone-{zone}"), state);
-        self.store.put("servers", standin.id(), entry.to_string().as_bytes());
+        self.put_target_entry(index, &self.target_entry(index, state));
     }
 
     /// Writes a target's entry with this capacity to the list of targets.
     pub fn list_target_with_capacity(&self, index: usize, capacity: Capacity) {
-        let Target { zone, standin, addr } = &self.targets[index];
-        let mut entry = standin.registry_entry(*addr, "svc", &format!("zone-{zone}"), "ready");
+        let mut entry = self.target_entry(index, "ready");
         entry["capacity"] = json!({
             "cpu": capacity.cpu_milli, "memMb": capacity.memory_mb, "gpu": capacity.gpus,
         });
-        self.store.put("servers", standin.id(), entry.to_string().as_bytes());
+        self.put_target_entry(index, &entry);
+    }
+
+    fn target_entry(&self, index: usize, state: &str) -> Value {
+        let Target { zone, standin, addr } = &self.targets[index];
+        standin.registry_entry(*addr, "svc", &format!("zone-{zone}"), state)
+    }
+
+    fn put_target_entry(&self, index: usize, entry: &Value) {
+        self.store.put("servers", self.targets[index].standin.id(), entry.to_string().as_bytes());
     }
 
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -35,6 +35,11 @@
     assert!(done.count() >= usize::from(tasks), "job {id}: {run_records:?}");
 }
 
+fn assert_two_crashes_at_most(fleet: &Fleet) {
+    let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
+    assert!(crashed <= 2, "{crashed} targets crashed");
+}
+
 fn assert_completed(reply: Option<Reply>) {
     let reply = reply.expect("the node closed the connection without a response");
     assert_eq!((reply.status, job_state(&reply).as_deref()), (StatusCode::Ok, Some("completed")));
@@ -91,8 +96,7 @@
                 reply.is_some_and(|reply| job_state(&reply).as_deref() == Some("failed"))
             }).await;
         }
-        let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
-        assert!(crashed <= 2, "{crashed} targets crashed");
+        assert_two_crashes_at_most(&fleet);
     }
 
     restarted_process_learns_of_crashed_targets_from_its_peers(68, fleet) {
@@ -113,8 +117,7 @@
             let reply = fleet.submit_with_spec(1, SAMPLED_JOB, 1, crashing).await;
             reply.is_some_and(|reply| job_state(&reply).as_deref() == Some("failed"))
         }).await;
-        let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
-        assert!(crashed <= 2, "{crashed} targets crashed");
+        assert_two_crashes_at_most(&fleet);
     }
 
     jobs_with_extreme_numbers_leave_every_owner_serving(69, fleet) {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -126,8 +126,10 @@
     }
 
     fn apply_list(&mut self, list: &TargetList, peer: SocketAddr) {
-        self.record_missing_targets(|id| list.targets.iter().any(|info| *info.id == *id));
-        self.missing.retain(|(id, _)| !list.targets.iter().any(|info| info.id == *id));
+        let is_listed =
+            |id: &str| list.targets.binary_search_by(|info| info.id.as_ref().cmp(id)).is_ok();
+        self.record_missing_targets(is_listed);
+        self.missing.retain(|(id, _)| !is_listed(id));
         let changed = list.targets.iter().filter(|info| self.update_target(info)).count();
         self.set_version(list.version);
         let targets = list.targets.len();
@@ -144,9 +146,10 @@
         if is_whole_list {
             self.record_missing_targets(|id| update.rows.iter().any(|row| row.key == *id));
         }
-        self.set_version(update.version);
         let changed = update.rows.iter().filter_map(|row| self.apply_row(row));
         let changed: Vec<TargetInfo> = changed.collect();
+        // A peer that is told of this version must find its targets in the list.
+        self.set_version(update.version);
         // After a restart of all VMs, a line for each target would take small VMs longer than the
         // list itself.
         if is_whole_list {
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -55,7 +55,7 @@
             self.actions.push(Action::Answer { request, answer });
             return;
         }
-        if self.find_deadly_task(id).is_some() {
+        if self.has_deadly_task(id) {
             self.actions.push(Action::Answer { request, answer: JobAnswer::Failed });
             return;
         }
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -56,10 +56,8 @@
         if self.target_losses.is_empty() {
             return true;
         }
-        let runs_alone =
-            |task: TaskId| self.target_losses.count(task).start_rule() != StartRule::Anywhere;
         match self.target_losses.count(task).start_rule() {
-            StartRule::Anywhere => !target.runs().iter().any(|run| runs_alone(run.run.task)),
+            StartRule::Anywhere => !target.runs().iter().any(|run| self.is_suspect(run.run.task)),
             StartRule::Alone => target.runs().is_empty(),
             StartRule::Never => false,
         }
@@ -140,11 +138,11 @@
         }
     }
 
-    /// Returns the task that makes a job fail since targets crash under it, and logs it.
-    pub(super) fn find_deadly_task(&self, id: JobId) -> Option<TaskId> {
-        let task = self.target_losses.deadly_task(id)?;
+    /// Returns whether a job fails since targets crash under one of its tasks, and logs which one.
+    pub(super) fn has_deadly_task(&self, id: JobId) -> bool {
+        let Some(task) = self.target_losses.deadly_task(id) else { return false };
         log_event!(info, JobFailed, job = %id, task = %task, reason = "the task crashes targets");
-        Some(task)
+        true
     }
 
     /// Fails the jobs with a task that crashes targets.
@@ -153,7 +151,7 @@
             return;
         }
         let open = self.jobs.iter().filter(|job| job.phase() == JobPhase::Open);
-        let deadly = open.map(JobState::id).filter(|id| self.find_deadly_task(*id).is_some());
+        let deadly = open.map(JobState::id).filter(|id| self.has_deadly_task(*id));
         let deadly: Vec<JobId> = deadly.collect();
         for id in deadly {
             self.finish_job(id, JobAnswer::Failed, now_ms);
