--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -178,7 +179,6 @@
         self.log = []
         self.ver = 100
         self.changed = asyncio.Event()
-        self.slow_x = 1.0
         self.silent = False
         self.server = HttpServer(self.handle)
         self.addr = None
@@ -222,7 +222,7 @@
             # The call gets no answer, also not later.
             await asyncio.Event().wait()
         if path == "/v1/rows-get":
-            await asyncio.sleep(self.READ_MS * self.slow_x / 1000)
+            await asyncio.sleep(self.READ_MS / 1000)
             table, part = query["table"], query.get("part", "")
             first, until = query.get("from", ""), query.get("target")
             names = sorted(
@@ -234,7 +234,7 @@
             record(f"store rows-get table={table} from={first!r} rows={len(names[:limit])} ver={self.ver}")
             return self.answer(names[:limit], len(names) > limit)
         if path == "/v1/rows-feed":
-            await asyncio.sleep(self.READ_MS * self.slow_x / 1000)
+            await asyncio.sleep(self.READ_MS / 1000)
             table, after = query["table"], int(query["after"])
             until = now_ms() + int(query.get("waitMs", 0))
             while True:
@@ -252,7 +252,7 @@
                 except asyncio.TimeoutError:
                     pass
         if path == "/v1/rows-tx":
-            await asyncio.sleep(self.TX_MS * self.slow_x / 1000)
+            await asyncio.sleep(self.TX_MS / 1000)
             message = json.loads(body)
             for row in message.get("expectedRev", []):
                 name = (row["table"], row.get("part", ""), row["key"])
@@ -498,6 +498,7 @@
     def __init__(self, zones):
         self.octet = free_octet()
         self.zones = zones
+        self.is_stopped = False
         self.dir = tempfile.mkdtemp(prefix="ggb-review-")
         self.nodes = []
         with open(os.path.join(REPO, "deploy", "system.toml"), "rb") as file:
@@ -544,6 +545,8 @@
         return node
 
     async def start(self, node):
+        if self.is_stopped:
+            return
         log = open(os.path.join(self.dir, f"{node.name}.log"), "ab")
         self.logs.append(log)
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -570,6 +573,7 @@
         raise CannotRun(f"{node.name} is not ready after {timeout_s} s")
 
     async def stop(self):
+        self.is_stopped = True
         for node in self.nodes:
             if node.process and node.process.returncode is None:
                 try:
@@ -578,6 +582,8 @@
                 except ProcessLookupError:
                     pass
                 await node.process.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.dir, ignore_errors=True)
 
 
 def free_octet():
@@ -664,12 +670,16 @@
 
 async def run_case(case):
     """Runs a case within the time that a script has; its clean-up runs also if it is too slow."""
-    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-    return await asyncio.wait_for(case(), 110)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: None)
+    task = asyncio.ensure_future(asyncio.wait_for(case(), 110))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
 
 
 def main(folder, case):
-    """Runs `case(deployment holder)`; exits with 1 if it returns broken rules, 0 if none."""
+    """Runs `case`; exits with 1 if it returns broken rules, with 0 if none, with 2 if it can't run."""
     global RECORD
     RECORD = Record(os.path.join(folder, "record.txt"))
     record(f"TROUBLE={int(TROUBLE)}")
@@ -678,7 +688,7 @@
         broken = asyncio.run(run_case(case))
         code = 1 if broken else 0
         result = "rule broken" if broken else "rule held"
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         broken, code, result = [], 2, f"could not run: {error!r}"
     for line in broken:
         record(f"BROKEN {line}")
