--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 EXECUTORS = 12
 JOBS_PER_S = 20
 ROUNDS = 4
-SILENT_S = 6.0
+SILENT_S = 4.1
 # Entries are removed after three heartbeat intervals without a heartbeat.
 LAPSE_S = 3 * fleet.HEARTBEAT_MS / 1000
 # Lapsed entries are back within this time of the store's return.
@@ -36,7 +36,10 @@
 
     async def lapse(executor):
         """The entry runs out while the store is away, and the executor writes it again."""
-        await asyncio.sleep(LAPSE_S)
+        # The last heartbeat before the outage is up to one interval old.
+        await asyncio.sleep(LAPSE_S - random.uniform(0.0, fleet.HEARTBEAT_MS / 1000))
+        if not store.silent:
+            return
         store.remove("servers", executor.id)
         fleet.record(f"the entry of {executor.id} lapses")
         while store.silent:
