--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import fleet  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,7 +9,7 @@
 
 if sys.version_info < (3, 11):
     sys.exit("the stand-ins need Python 3.11 or newer")
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     compile(path.read_text(encoding="utf-8"), str(path), "exec")
     print(f"review/{path}: compiles")
 PYTHON
--- a/review/lib/fleet.py
+++ b/review/fleet.py
@@ -18,7 +18,7 @@
 import tomllib
 import urllib.parse
 
-REPO = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPO = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4,
