Log failed reads of the store with their table, duration and age

Events 680 and 681 tell that some read failed or some read succeeded; a poll that hangs for 11.5 s leaves no line. Event 688 now has the table, the duration of the read and the time since the last one that succeeded, and 200 has that time too. Both tables are read through one function, which also did the same work twice before. No change of the logic.

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -3,12 +3,10 @@
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use async_std::task;
-use ggb_adapter::{
-    CONFIGURATION_KEY, CONFIGURATION_TABLE, Configuration, VersionedRows, decode_configuration,
-};
+use ggb_adapter::{CONFIGURATION_KEY, Configuration, VersionedRows, decode_configuration};
 use ggb_telemetry::log_event;
 
-use crate::{directory::record_store_reachability, shared::Shared};
+use crate::{shared::Shared, watched_table::WatchedTable};
 
 /// Maximum time for which the store holds a long poll open while the configuration does not change.
 const MAX_LONG_POLL_MS: u64 = 10_000;
@@ -24,21 +22,15 @@
 pub(crate) async fn watch_configuration(shared: Arc<Shared>) {
     let mut version = None;
     loop {
+        let last_read_at_ms = shared.configuration_read.at_ms();
         let read =
-            shared.store().changes_since(CONFIGURATION_TABLE, version, MAX_LONG_POLL_MS).await;
-        let result = if read.is_ok() { "answered" } else { "failed" };
-        shared.metrics.store_calls.with_label_values(&["configuration", result]).inc();
-        record_store_reachability(&shared, &read);
+            WatchedTable::Configuration.changes_since(&shared, version, MAX_LONG_POLL_MS).await;
         match read {
             Ok(Some(update)) => {
-                shared.configuration_read.record(shared.now_ms());
-                apply_rows(&shared, &update);
+                apply_rows(&shared, &update, last_read_at_ms);
                 version = Some(update.version);
             }
-            Ok(None) => {
-                log_event!(warn, HistoryLost, table = CONFIGURATION_TABLE);
-                version = None;
-            }
+            Ok(None) => version = None,
             Err(_) => {
                 // Changes may have been missed meanwhile, so the delay is short.
                 task::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
@@ -47,11 +39,11 @@
     }
 }
 
-fn apply_rows(shared: &Shared, update: &VersionedRows) {
+fn apply_rows(shared: &Shared, update: &VersionedRows, last_read_at_ms: u64) {
     let configurations = update.rows.iter().filter(|row| row.key == CONFIGURATION_KEY);
     for value in configurations.filter_map(|row| row.value.as_deref()) {
         match decode_configuration(value) {
-            Ok(configuration) => apply(shared, configuration, "store"),
+            Ok(configuration) => apply(shared, configuration, "store", last_read_at_ms),
             Err(error) => {
                 log_event!(warn, ConfigurationUnreadable, error = %error.current_context());
             }
@@ -73,7 +65,9 @@
         }
     };
     match serde_json::from_slice(&reply.body) {
-        Ok(configuration) => apply(&shared, configuration, "peer"),
+        Ok(configuration) => {
+            apply(&shared, configuration, "peer", shared.configuration_read.at_ms());
+        }
         Err(error) => {
             log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
         }
@@ -81,7 +75,9 @@
 }
 
 /// Applies a configuration unless one of the same or a later version is active.
-fn apply(shared: &Shared, configuration: Configuration, source: &str) {
+///
+/// `last_read_at_ms` is the time of the last read of the store that did not bring it.
+fn apply(shared: &Shared, configuration: Configuration, source: &str, last_read_at_ms: u64) {
     let version = configuration.version;
     let configuration = Arc::new(configuration);
     let mut is_newer = false;
@@ -96,6 +92,7 @@
         shared.configuration_gossip.lock().record_own_change();
         shared.metrics.configuration_version.set(version as i64);
         let queues = configuration.queues.len();
-        log_event!(info, GenerationAdvanced, version, queues, source);
+        let read_age_ms = shared.now_ms().saturating_sub(last_read_at_ms);
+        log_event!(info, GenerationAdvanced, version, queues, source, read_age_ms);
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -8,12 +8,12 @@
 
 use async_std::task;
 use error_stack::Report;
-use ggb_adapter::{AdapterError, Row, TARGETS_TABLE, VersionedRows, decode_target};
+use ggb_adapter::{AdapterError, Row, VersionedRows, decode_target};
 use ggb_placement::TargetInfo;
 use ggb_telemetry::log_event;
 use http_types::StatusCode;
 
-use crate::{peer_api::TargetList, shared::Shared};
+use crate::{peer_api::TargetList, shared::Shared, watched_table::WatchedTable};
 
 /// Interval at which the list of targets is read. Within 2 s after a target starts to
 /// drain, it must get no more new work; the platform sets this limit.
@@ -60,19 +60,9 @@
 impl TargetListWatcher {
     /// Reads the changes of the list since the last read and applies them.
     async fn refresh(&mut self) -> Result<(), Report<AdapterError>> {
-        let read = self.shared.store().changes_since(TARGETS_TABLE, self.version, 0).await;
-        let result = if read.is_ok() { "answered" } else { "failed" };
-        self.shared.metrics.store_calls.with_label_values(&["targets", result]).inc();
-        record_store_reachability(&self.shared, &read);
-        match read? {
-            Some(update) => {
-                self.shared.targets_read.record(self.shared.now_ms());
-                self.apply(&update);
-            }
-            None => {
-                log_event!(warn, HistoryLost, table = TARGETS_TABLE);
-                self.version = None;
-            }
+        match WatchedTable::Targets.changes_since(&self.shared, self.version, 0).await? {
+            Some(update) => self.apply(&update),
+            None => self.version = None,
         }
         Ok(())
     }
@@ -231,17 +221,3 @@
 fn log_target(info: &TargetInfo) {
     log_event!(info, TargetListed, target = %info.id, zone = %info.zone, draining = info.draining);
 }
-
-/// Logs when the store becomes unreachable or reachable again.
-pub(crate) fn record_store_reachability<T>(
-    shared: &Shared,
-    read: &Result<T, Report<AdapterError>>,
-) {
-    match read {
-        Ok(_) if shared.set_store_reachable(true) => log_event!(info, StoreReachable),
-        Err(error) if shared.set_store_reachable(false) => {
-            log_event!(warn, StoreUnreachable, error = %error.current_context());
-        }
-        Ok(_) | Err(_) => {}
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 //! * `lending` offloads parts of jobs to the owners of other zones.
 //! * `peers` exchanges heartbeats with the other processes and updates the ownership.
 //! * `peer_api` is the HTTP interface between the processes.
-//! * `directory` and `configuration` read the platform's store.
+//! * `directory` and `configuration` follow two tables of the platform's store (`watched_table`).
 
 mod callers;
 mod configuration;
@@ -26,6 +26,7 @@
 mod process;
 mod settings_file;
 mod shared;
+mod watched_table;
 
 pub use crate::{
     metrics::NodeMetrics,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -34,9 +34,14 @@
         self.0.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Returns the time of the last read; the start of the process before the first.
+    pub(crate) fn at_ms(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the last read; since the start of the process before the first.
     pub(crate) fn age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.0.load(Ordering::Relaxed))
+        now_ms.saturating_sub(self.at_ms())
     }
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -165,6 +165,8 @@
     PeerMessageLate = 686,
     /// A newer configuration could not be fetched from the peer that reported it.
     PeerConfigurationMissing = 687,
+    /// A read of a table of the store failed; the fields contain its duration and the time since the last successful one.
+    StoreReadFailed = 688,
     /// Number of log lines that were dropped to limit their volume.
     LinesDropped = 690,
 }
