Read again on a new connection when an open one does not answer

What callers saw: 5.3 s and longer beyond the deadline for a change, all processes answered 404 on an added route and ran jobs of a dropped one.

Cause: each process followed the configuration through one long poll on one connection, which ended only by its own timeout of 11.5 s. A connection that had gone silent, or a poll sent in an outage, hid all later versions for that long, at all processes at once, as a change puts their polls in step.

Evidence: 688 `table: op, took_ms: 11505` ends 0.3 s before 200 applies the version; the list of targets was read 16 times meanwhile.

Fix: a poll waits for half of the deadline that the platform sets for changes, and HttpClient repeats every read without a response on a new connection after a third of its timeout; the first answer counts. A poll is followed by a read that does not wait. After a failure the next read does not wait either. So a silent connection costs half of the deadline plus 0.5 s, an outage at most that after its end. Slow answers still count, as the first request goes on. Event 689 and ggb_silent_connections_total show such connections.

Considered: TCP keep-alive (does not see a store that accepts and never answers); shorter timeouts in sequence (a slow store would never answer); reading every second without a long poll (the same calls, later delivery).

Tests, all failing with the second look taken out: `read_on_a_silent_...` and `poll_on_a_silent_connection_is_answered_on_a_new_one` (no response before the timeout), `configuration_is_not_held_up_by_a_poll_on_a_silent_connection` (polls of node 0 timed out: 1).

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -22,6 +22,7 @@
 const CALLER_PORT: u16 = 8161;
 const READY_PORT: u16 = 8167;
 pub const PEER_PORT: u16 = 7720;
+const OPERATOR_PORT: u16 = 9464;
 
 /// Offset of the last octet of a node's bind address from that of the address given to peers.
 const BIND_OFFSET: u8 = 50;
@@ -317,6 +318,15 @@
         serde_json::from_slice(&reply.body).expect("the response is JSON")
     }
 
+    /// Returns the value of a metric of a node, which has these labels in the text format.
+    pub async fn metric(&self, node: usize, name_and_labels: &str) -> Option<u64> {
+        let addr = SocketAddr::new(self.nodes[node].bind_ip, OPERATOR_PORT);
+        let reply = self.client.get(addr, "/metrics", WAIT_TIMEOUT_MS).await.ok()?;
+        let text = String::from_utf8(reply.body).expect("metrics are text");
+        let mut values = text.lines().filter_map(|line| line.strip_prefix(name_and_labels));
+        values.next().map(|value| value.trim().parse().expect("the metric is a count"))
+    }
+
     /// Returns the runs on all targets, sorted by task and start time.
     pub fn run_records(&self) -> Vec<RunRecord> {
         let targets = self.targets.iter();
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -15,7 +15,7 @@
 use ggb_http::Reply;
 use ggb_membership::{Node, Ownership};
 use ggb_placement::{Capacity, RunEnd};
-use ggb_standin::{RunRecord, RunSpec, StoreMode};
+use ggb_standin::{Endpoints, Relay, RunRecord, RunSpec, StoreMode};
 use http_types::{Method, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -59,6 +59,34 @@
     };
 }
 
+#[async_std::test]
+async fn configuration_is_not_held_up_by_a_poll_on_a_silent_connection() {
+    let relay = Relay::default();
+    let fleet = Fleet::spawn_behind_relay(relay.clone(), 70, SIZE).await;
+    fleet.configure(2, &[PATH_PREFIX, "/second/"]);
+    wait_until_all_serve(&fleet, "/second/").await;
+    let store = Endpoints::Ip(fleet.store.local_addr().ip());
+    assert!(relay.silence_open_connections(&Endpoints::Any, &store) >= fleet.nodes.len());
+    fleet.configure(3, &[PATH_PREFIX, "/third/"]);
+    wait_until_all_serve(&fleet, "/third/").await;
+    for node in 0..fleet.nodes.len() {
+        let failed_reads = "ggb_store_calls_total{call=\"configuration\",result=\"failed\"}";
+        assert_eq!(fleet.metric(node, failed_reads).await, None, "polls of node {node} timed out");
+    }
+}
+
+/// Waits until every node serves the queue with this path prefix.
+async fn wait_until_all_serve(fleet: &Fleet, prefix: &str) {
+    for node in 0..fleet.nodes.len() {
+        fleet
+            .wait_until("the node serves the queue", || async {
+                let reply = fleet.call(node, Method::Get, prefix, Vec::new()).await;
+                reply.is_some_and(|reply| reply.status == StatusCode::Ok)
+            })
+            .await;
+    }
+}
+
 cases! {
     every_node_completes_jobs(51, fleet) {
         for node in 0..4 {
@@ -163,12 +191,7 @@
 
     changed_configuration_comes_into_force_on_every_node(55, fleet) {
         fleet.configure(4, &[PATH_PREFIX, "/added/"]);
-        for node in 0..4 {
-            fleet.wait_until("the node serves the added queue", || async {
-                let reply = fleet.call(node, Method::Get, "/added/", Vec::new()).await;
-                reply.is_some_and(|reply| reply.status == StatusCode::Ok)
-            }).await;
-        }
+        wait_until_all_serve(&fleet, "/added/").await;
     }
 
     jobs_complete_and_changes_are_loaded_later_when_the_store_is_down(56, fleet) {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,9 +6,13 @@
     time::Duration,
 };
 
-use async_std::{future::timeout, net::TcpStream};
+use async_std::{future::timeout, net::TcpStream, task};
 use error_stack::{Report, ResultExt as _};
-use futures::{FutureExt as _, pin_mut};
+use futures::{
+    FutureExt as _,
+    future::{BoxFuture, Either, select},
+    pin_mut,
+};
 use ggb_model::Step;
 use http_types::{Method, Request, StatusCode, Url, headers::CONNECTION, mime};
 use parking_lot::Mutex;
@@ -16,6 +20,9 @@
 
 use crate::{HttpError, Sent, body::read_to_end};
 
+/// Part of the timeout of a read after which it is repeated on a new connection.
+const REPEAT_TIMEOUT_DIVISOR: u64 = 3;
+
 /// Options of a client: its limits and the address that it connects from.
 #[derive(Clone, Debug)]
 pub struct ClientOptions {
@@ -49,6 +56,9 @@
     pub body: Vec<u8>,
 }
 
+/// A request in progress, on the heap, since its state takes some 12 kB.
+type ReplyFuture<'a> = BoxFuture<'a, Result<Reply, Report<HttpError>>>;
+
 /// Idle connections to one peer.
 #[derive(Debug)]
 struct IdleConnections {
@@ -62,16 +72,22 @@
     options: ClientOptions,
     /// Connections without a request in progress, sorted by peer address.
     idle: Mutex<Vec<IdleConnections>>,
+    /// Number of reads that only a new connection answered, sorted by peer address.
+    silent_peers: Mutex<Vec<(SocketAddr, u32)>>,
 }
 
 impl HttpClient {
     /// Returns a client without open connections.
     pub const fn new(options: ClientOptions) -> Self {
-        HttpClient { options, idle: Mutex::new(Vec::new()) }
+        HttpClient { options, idle: Mutex::new(Vec::new()), silent_peers: Mutex::new(Vec::new()) }
     }
 
     /// Sends a GET request for `path` and reads the whole response.
     ///
+    /// An open connection may have gone silent while new ones work. Therefore a request without a
+    /// response after a third of `timeout_ms` is repeated on a new connection, and the first
+    /// response counts.
+    ///
     /// # Errors
     ///
     /// Returns the same errors as [`HttpClient::send`].
@@ -81,7 +97,74 @@
         path: &str,
         timeout_ms: u64,
     ) -> Result<Reply, Report<HttpError>> {
-        self.send(addr, Method::Get, path, Vec::new(), timeout_ms).await
+        let repeat_after_ms = timeout_ms / REPEAT_TIMEOUT_DIVISOR;
+        let send = |timeout_ms| self.send(addr, Method::Get, path, Vec::new(), timeout_ms).boxed();
+        let first = send(timeout_ms);
+        let second = || send(timeout_ms - repeat_after_ms);
+        self.first_reply(addr, first, repeat_after_ms, second).await
+    }
+
+    /// Sends a GET request that the peer may hold open for `wait_ms`, and reads the whole response.
+    ///
+    /// `paths` are the path that waits and the one that asks for the same without waiting. The second
+    /// is read, as by [`HttpClient::get`], if the first has no response `wait_ms` and a third of
+    /// `timeout_ms` after it was sent: nobody else may notice that its connection has gone silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`HttpClient::send`].
+    pub async fn long_poll(
+        &self,
+        addr: SocketAddr,
+        (waiting_path, immediate_path): (&str, &str),
+        wait_ms: u64,
+        timeout_ms: u64,
+    ) -> Result<Reply, Report<HttpError>> {
+        let repeat_after_ms = wait_ms + timeout_ms / REPEAT_TIMEOUT_DIVISOR;
+        let poll = self.send(addr, Method::Get, waiting_path, Vec::new(), wait_ms + timeout_ms);
+        let read = || self.get(addr, immediate_path, timeout_ms).boxed();
+        self.first_reply(addr, poll.boxed(), repeat_after_ms, read).await
+    }
+
+    /// Returns the response to `first`. If there is none after `repeat_after_ms`, closes the idle
+    /// connections to the peer, so that `second` opens a new one, and returns the response that
+    /// arrives first.
+    async fn first_reply<'a>(
+        &self,
+        addr: SocketAddr,
+        first: ReplyFuture<'a>,
+        repeat_after_ms: u64,
+        second: impl FnOnce() -> ReplyFuture<'a>,
+    ) -> Result<Reply, Report<HttpError>> {
+        let repeat = task::sleep(Duration::from_millis(repeat_after_ms)).boxed();
+        let first = match select(first, repeat).await {
+            Either::Left((result, _)) => return result,
+            Either::Right(((), first)) => first,
+        };
+        self.close_idle(addr);
+        match select(first, second()).await {
+            Either::Left((Ok(reply), _)) => Ok(reply),
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Ok(reply), _)) => {
+                self.record_silent_peer(addr);
+                Ok(reply)
+            }
+            Either::Right((Err(_), first)) => first.await,
+        }
+    }
+
+    /// Returns the peers of which a new connection answered a read that an open one did not, with
+    /// the number of such reads since the last call.
+    pub fn take_silent_peers(&self) -> Vec<(SocketAddr, u32)> {
+        std::mem::take(&mut *self.silent_peers.lock())
+    }
+
+    fn record_silent_peer(&self, addr: SocketAddr) {
+        let mut peers = self.silent_peers.lock();
+        match peers.binary_search_by_key(&addr, |(peer, _)| *peer) {
+            Ok(index) => peers[index].1 += 1,
+            Err(index) => peers.insert(index, (addr, 1)),
+        }
     }
 
     /// Sends a POST request with a JSON body and reads the whole response.
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -48,6 +48,24 @@
     text
 }
 
+/// Starts a server whose first connection goes silent after one response, and whose later ones
+/// answer; returns its address.
+async fn start_server_with_silent_connection() -> SocketAddr {
+    let listener = TcpListener::bind(loopback_addr()).await.expect("a loopback port is free");
+    let addr = listener.local_addr().expect("the listener is bound");
+    task::spawn(async move {
+        let mut connections = Vec::new();
+        for body in ["first", "later", "later"] {
+            let (mut stream, _) = listener.accept().await.expect("a client connects");
+            stream.read(&mut [0; 1_024]).await.expect("the client sends a request");
+            let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{body}");
+            stream.write_all(response.as_bytes()).await.expect("the client reads the response");
+            connections.push(stream);
+        }
+    });
+    addr
+}
+
 macro_rules! cases {
     ($($(#[doc = $doc:literal])+ $name:ident => $body:expr;)+) => {
         $($(#[doc = $doc])+ #[test] fn $name() { task::block_on($body) })+
@@ -124,6 +142,42 @@
         assert_eq!(refused.current_context().sent(), Sent::No);
     };
 
+    /// A read on a connection that has gone silent is answered on a new one, long before its timeout.
+    read_on_a_silent_connection_is_answered_on_a_new_one => async {
+        let addr = start_server_with_silent_connection().await;
+        let client = HttpClient::new(ClientOptions::default());
+        assert_eq!(client.get(addr, "/", 6_000).await.unwrap().body, b"first");
+        assert_eq!(client.get(addr, "/", 6_000).await.unwrap().body, b"later");
+        assert_eq!(client.take_silent_peers(), [(addr, 1)]);
+        assert_eq!(client.take_silent_peers(), []);
+    };
+
+    /// A poll on a connection that has gone silent is followed by a read on a new one once the peer
+    /// should have answered, although the poll itself has not timed out.
+    poll_on_a_silent_connection_is_answered_on_a_new_one => async {
+        let addr = start_server_with_silent_connection().await;
+        let client = HttpClient::new(ClientOptions::default());
+        assert_eq!(client.get(addr, "/", 6_000).await.unwrap().body, b"first");
+        let reply = client.long_poll(addr, ("/wait", "/"), 100, 6_000).await.unwrap();
+        assert_eq!(reply.body, b"later");
+        assert_eq!(client.take_silent_peers(), [(addr, 1)]);
+    };
+
+    /// A poll that the peer answers within its waiting time uses one connection.
+    answered_poll_is_sent_once => async {
+        let handler = |request: Request| async move {
+            task::sleep(Duration::from_millis(100)).await;
+            json_text_response(StatusCode::Ok, request.url().path())
+        };
+        let server =
+            HttpServer::bind(loopback_addr(), ServerLimits::default(), handler).await.unwrap();
+        let client = HttpClient::new(ClientOptions::default());
+        let reply = client.long_poll(server.local_addr(), ("/wait", "/"), 100, 60_000).await;
+        assert_eq!(reply.unwrap().body, b"/wait");
+        assert_eq!(server.open_connections(), 1);
+        assert_eq!(client.take_silent_peers(), []);
+    };
+
     /// Stopping the server waits for the request in progress and closes idle connections.
     stop_waits_for_requests_and_closes_idle_connections => async {
         let (enter, entered) = async_channel::bounded::<()>(1);
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -8,8 +8,10 @@
 
 use crate::{shared::Shared, watched_table::WatchedTable};
 
-/// Maximum time for which the store holds a long poll open while the configuration does not change.
-const MAX_LONG_POLL_MS: u64 = 10_000;
+/// Part of the deadline for a new configuration for which the store holds a long poll open while the
+/// configuration does not change. The rest is for noticing that the poll gets no answer, and for
+/// reading the table on another connection.
+const LONG_POLL_DEADLINE_DIVISOR: u64 = 2;
 
 /// Delay before the store is read again after a failure.
 const RETRY_DELAY_MS: u64 = 300;
@@ -21,20 +23,21 @@
 /// Applies each new configuration until the process ends.
 pub(crate) async fn watch_configuration(shared: Arc<Shared>) {
     let mut version = None;
+    let mut is_behind = true;
     loop {
+        let deadline_ms = shared.live_settings().configuration_deadline_ms;
+        // While reads fail changes may be missed, so the next read does not wait for another one.
+        let wait_ms = if is_behind { 0 } else { deadline_ms / LONG_POLL_DEADLINE_DIVISOR };
         let last_read_at_ms = shared.configuration_read.at_ms();
-        let read =
-            WatchedTable::Configuration.changes_since(&shared, version, MAX_LONG_POLL_MS).await;
+        let read = WatchedTable::Configuration.changes_since(&shared, version, wait_ms).await;
+        is_behind = read.is_err();
         match read {
             Ok(Some(update)) => {
                 apply_rows(&shared, &update, last_read_at_ms);
                 version = Some(update.version);
             }
             Ok(None) => version = None,
-            Err(_) => {
-                // Changes may have been missed meanwhile, so the delay is short.
-                task::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-            }
+            Err(_) => task::sleep(Duration::from_millis(RETRY_DELAY_MS)).await,
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -42,6 +42,9 @@
     /// Number of calls to the platform's store, by table (label `call`) and result: answered,
     /// failed.
     pub store_calls: IntCounterVec,
+    /// Number of reads from the store or a peer that an open connection did not answer, but a new
+    /// one did.
+    pub silent_connections: IntCounter,
     /// CPU in thousandths of a core, by state: total and free of the targets in the zone of this
     /// process, and queued, the demand of the waiting tasks.
     pub cpu_milli: IntGaugeVec,
@@ -100,6 +103,10 @@
                 &["kind", "outcome"],
             ),
             lost_runs: counter("ggb_lost_runs_total", "Runs that ended with their target"),
+            silent_connections: counter(
+                "ggb_silent_connections_total",
+                "Reads that only a new connection answered",
+            ),
             store_calls: counters(
                 "ggb_store_calls_total",
                 "Calls to the store",
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -200,6 +200,7 @@
         let load = owner_load(&shared);
         send_heartbeat(&shared, &socket, load, recipients).await;
         update_gauges(&shared, load);
+        report_silent_connections(&shared);
         wait_for_next_round(&shared).await;
     }
 }
@@ -343,6 +344,14 @@
     shared.metrics.targets.with_label_values(&["sound"]).set(load.healthy_targets as i64);
 }
 
+/// Logs and counts the connections that have gone silent since the last call.
+fn report_silent_connections(shared: &Shared) {
+    for (peer, reads) in shared.http.take_silent_peers() {
+        shared.metrics.silent_connections.inc_by(u64::from(reads));
+        log_event!(warn, ConnectionSilent, peer = %peer, reads);
+    }
+}
+
 /// Returns the VMs that the rows describe; rows that can't be decoded are logged and left out.
 fn decode_nodes(rows: &[Row]) -> Vec<Node> {
     let decode = |row: &Row| match serde_json::from_slice::<Node>(row.value.as_deref()?) {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,7 +20,7 @@
     future::{Either, select},
     pin_mut,
 };
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 
 const MAX_CHUNK_BYTES: usize = 64 << 10;
 const MAX_QUEUED_CHUNKS: usize = 64;
@@ -85,6 +88,17 @@
 #[derive(Clone, Default)]
 pub struct Relay {
     rules: Arc<RwLock<Vec<LinkRule>>>,
+    links: Arc<Mutex<Vec<Weak<Link>>>>,
+}
+
+/// An open connection through the relay.
+struct Link {
+    /// Address that the connection comes from.
+    source: IpAddr,
+    /// Address forwarded to.
+    upstream: IpAddr,
+    /// Whether the connection stays open but delivers nothing more.
+    is_silent: AtomicBool,
 }
 
 /// Failure to bind a listener of a relay.
@@ -144,6 +158,23 @@
         self.rules.write().retain(|other| other != rule);
     }
 
+    /// Silences the connections between the endpoints that are open now: they stay open, but deliver
+    /// nothing more in either direction. Returns their number.
+    pub fn silence_open_connections(&self, from: &Endpoints, to: &Endpoints) -> usize {
+        let mut links = self.links.lock();
+        links.retain(|link| link.strong_count() > 0);
+        let open = links.iter().filter_map(Weak::upgrade);
+        let matching = open.filter(|link| from.contains(link.source) && to.contains(link.upstream));
+        matching.map(|link| link.is_silent.store(true, Ordering::Relaxed)).count()
+    }
+
+    /// Registers a connection that has been opened.
+    fn open_link(&self, source: IpAddr, upstream: IpAddr) -> Arc<Link> {
+        let link = Arc::new(Link { source, upstream, is_silent: AtomicBool::new(false) });
+        self.links.lock().push(Arc::downgrade(&link));
+        link
+    }
+
     fn is_cut(&self, from: IpAddr, to: IpAddr) -> bool {
         self.has_rule(from, to, |effect| effect == LinkEffect::Cut)
     }
@@ -203,15 +234,11 @@
     if client.set_nodelay(true).is_err() || server.set_nodelay(true).is_err() {
         return;
     }
-    task::spawn(forward_bytes(
-        relay.clone(),
-        client.clone(),
-        server.clone(),
-        source,
-        upstream.ip(),
-    ));
-    let responses =
-        forward_bytes(relay.clone(), server.clone(), client.clone(), upstream.ip(), source);
+    let link = relay.open_link(source, upstream.ip());
+    let requests = Direction { link: Arc::clone(&link), from: source, to: upstream.ip() };
+    task::spawn(forward_bytes(relay.clone(), client.clone(), server.clone(), requests));
+    let responses = Direction { link, from: upstream.ip(), to: source };
+    let responses = forward_bytes(relay.clone(), server.clone(), client.clone(), responses);
     let reset = relay.wait_until_reset(source, upstream.ip());
     pin_mut!(responses, reset);
     if let Either::Right(_) = select(responses, reset).await {
@@ -242,6 +269,20 @@
     }
 }
 
+/// One direction of a connection.
+#[derive(Clone)]
+struct Direction {
+    link: Arc<Link>,
+    from: IpAddr,
+    to: IpAddr,
+}
+
+impl Direction {
+    fn is_silent(&self) -> bool {
+        self.link.is_silent.load(Ordering::Relaxed)
+    }
+}
+
 /// Bytes to forward in one write.
 struct Chunk {
     /// Earliest time of delivery.
@@ -250,18 +291,12 @@
 }
 
 /// Reads bytes from one side of a connection and queues them for delivery to the other.
-async fn forward_bytes(
-    relay: Relay,
-    mut read: TcpStream,
-    write: TcpStream,
-    from: IpAddr,
-    to: IpAddr,
-) {
+async fn forward_bytes(relay: Relay, mut read: TcpStream, write: TcpStream, direction: Direction) {
     let (sender, receiver) = async_channel::bounded(MAX_QUEUED_CHUNKS);
-    task::spawn(deliver_chunks(relay.clone(), receiver, write, from, to));
+    task::spawn(deliver_chunks(relay.clone(), receiver, write, direction.clone()));
     let mut buffer = vec![0; MAX_CHUNK_BYTES];
     while let Ok(count @ 1..) = read.read(&mut buffer).await {
-        let due = Instant::now() + relay.delay(from, to);
+        let due = Instant::now() + relay.delay(direction.from, direction.to);
         if queue_chunk(&sender, Chunk { due, bytes: buffer[..count].to_vec() }).await.is_none() {
             return;
         }
@@ -274,24 +309,27 @@
 }
 
 /// Writes queued chunks when they are due and no rule cuts their direction, and closes that
-/// direction after the last one.
+/// direction after the last one. Drops them, and the end too, if the connection is silent.
 async fn deliver_chunks(
     relay: Relay,
     receiver: Receiver<Chunk>,
     mut write: TcpStream,
-    from: IpAddr,
-    to: IpAddr,
+    direction: Direction,
 ) {
+    let (from, to) = (direction.from, direction.to);
     while let Ok(chunk) = receiver.recv().await {
         let remaining = chunk.due.saturating_duration_since(Instant::now());
         if !remaining.is_zero() {
             task::sleep(remaining).await;
         }
         relay.wait_while_cut(from, to).await;
-        if write.write_all(&chunk.bytes).await.is_err() {
+        if !direction.is_silent() && write.write_all(&chunk.bytes).await.is_err() {
             return;
         }
     }
     relay.wait_while_cut(from, to).await;
+    if direction.is_silent() {
+        return;
+    }
     write.shutdown(Shutdown::Write).ok();
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -167,6 +167,8 @@
     PeerConfigurationMissing = 687,
     /// A read of a table of the store failed; the fields contain its duration and the time since the last successful one.
     StoreReadFailed = 688,
+    /// Reads from an address got no answer on an open connection, but on a new one.
+    ConnectionSilent = 689,
     /// Number of log lines that were dropped to limit their volume.
     LinesDropped = 690,
 }
