Reject entries of targets whose id or capacity can't be used

Of 25 odd entries (deep nesting, numbers too large, ports out of range, odd addresses, keys that are no ASCII text) two kinds did harm: * a capacity of 2^64 - 1 passed and overflowed the sum of the zone's load. In builds with overflow checks the loop that reads the list ended for good; in others the load and the capacity offered to other zones were wrong. * an id with other characters than ASCII passed, and the header that names the target panicked in each request for its listing, in all builds; one with a line break would have added a header of its own. Deep nesting stops at the decoder's limit, ports and infinite numbers at their types; these did no harm before.

Targets are now checked like jobs, with the same bound for capacities, and the client turns a header that can't be sent into an error.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -165,7 +165,8 @@
         self.put_target_entry(index, &entry);
     }
 
-    fn target_entry(&self, index: usize, state: &str) -> Value {
+    /// Returns a target's entry with this state, as it is in the list of targets.
+    pub fn target_entry(&self, index: usize, state: &str) -> Value {
         let Target { zone, standin, addr } = &self.targets[index];
         standin.registry_entry(*addr, "svc", &format!("zone-{zone}"), state)
     }
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -217,6 +217,72 @@
         }
     }
 
+    odd_target_entries_end_no_process_and_hide_no_later_change(71, fleet) {
+        let sound = fleet.target_entry(0, "ready");
+        let with = |field: &str, value: &str| {
+            let text = sound.to_string();
+            let old = format!("\"{field}\":{}", sound[field]);
+            assert!(text.contains(&old), "{old}");
+            text.replace(&old, &format!("\"{field}\":{value}"))
+        };
+        let nested = |open: &str, close: &str| open.repeat(20_000) + &close.repeat(20_000);
+        let capacity = |number: &str| {
+            format!("{{\"cpu\":{number},\"memMb\":{number},\"gpu\":{number}}}")
+        };
+        let ip = fleet.targets[0].standin.local_addr().ip();
+        let addr = |addr: String| with("address", &format!("\"{addr}\""));
+        let entries = [
+            ("deep-list", nested("[", "]")),
+            ("deep-map", nested("{\"a\":", "}")),
+            ("deep-labels", with("labels", &nested("[", "]"))),
+            ("deep-unknown", with("seqNo", &nested("[", "]"))),
+            ("deep-unclosed", "[".repeat(40_000)),
+            ("largest-numbers", with("capacity", &capacity("18446744073709551615"))),
+            ("too-large-numbers", with("capacity", &capacity("18446744073709551616"))),
+            ("infinite-numbers", with("capacity", &capacity("1e999"))),
+            ("long-number", with("capacity", &capacity(&"9".repeat(30_000)))),
+            ("fraction", with("capacity", &capacity("0.5"))),
+            ("negative", with("capacity", &capacity("-1"))),
+            ("born-last", with("born", "18446744073709551615")),
+            ("port-too-large", addr(format!("{ip}:65536"))),
+            ("port-huge", addr(format!("{ip}:99999999999999999999"))),
+            ("port-zero", addr(format!("{ip}:0"))),
+            ("no-such-host", addr("255.255.255.255:80".to_owned())),
+            ("any-host", addr("0.0.0.0:0".to_owned())),
+            ("ipv6-scope", addr("[fe80::1%7]:80".to_owned())),
+            ("multicast", addr("[ff02::1]:80".to_owned())),
+            ("umläut", addr(format!("{ip}:1"))),
+            ("new\r\nline", addr(format!("{ip}:2"))),
+            ("nul\0", addr(format!("{ip}:3"))),
+            ("", addr(format!("{ip}:4"))),
+            ("empty-names", with("service", "\"\"")),
+            ("zone-odd", with("zone", "\"\\u0000/..\"")),
+        ];
+        for (key, entry) in &entries {
+            fleet.store.put("servers", key, entry.as_bytes());
+        }
+        for target in 0..2 {
+            fleet.list_target(target, "draining");
+        }
+        for node in 0..4 {
+            fleet.wait_until("a job leaves the draining targets unused", || async {
+                let records = || {
+                    let of_zone = fleet.targets[..2].iter();
+                    of_zone.map(|target| target.standin.records().len()).sum::<usize>()
+                };
+                let before = records();
+                let reply = fleet.submit(node, rand::random(), 2, 30).await;
+                reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
+            }).await;
+        }
+        for (node, name) in fleet.nodes.iter_mut().zip(["0-1", "0-2", "1-1", "1-2"]) {
+            assert_eq!(node.process.exit_code(), None);
+            let log = fs::read_to_string(fleet.dir.join(format!("node-{name}.log"))).unwrap();
+            let panic = log.lines().find(|line| line.contains("panicked"));
+            assert_eq!(panic, None, "node {name}");
+        }
+    }
+
     stopped_node_completes_requests_in_progress(58, fleet) {
         let jobs: Vec<u64> = (0..8).collect();
         let answers = join_all(jobs.iter().map(|job| fleet.submit(*job as usize % 4, *job, 2, 400)));
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -209,7 +209,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the same errors as [`HttpClient::send`].
+    /// Returns the same errors as [`HttpClient::send`], and one if the value of a header contains other
+    /// characters than visible ASCII and spaces.
     pub async fn send_with_headers(
         &self,
         addr: SocketAddr,
@@ -228,6 +229,10 @@
             request.set_content_type(mime::JSON);
         }
         for (name, value) in headers {
+            if !value.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic()) {
+                let message = format!("header {name}: got {value:?}, expected visible ASCII");
+                return Err(HttpError::new(Step::Validate, addr, Sent::No, message).into());
+            }
             request.insert_header(*name, *value);
         }
         let stream = self.acquire_stream(addr).await?;
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -12,7 +12,7 @@
     ClientOptions, HttpClient, HttpServer, Sent, ServerLimits, json_response, json_text_response,
     read_body,
 };
-use http_types::{Request, StatusCode};
+use http_types::{Method, Request, StatusCode};
 
 const MAX_BODY_BYTES: usize = 1_000_000;
 /// Time after which the system sends a delayed acknowledgement.
@@ -130,6 +130,19 @@
         assert_eq!(refused.current_context().sent(), Sent::No);
     };
 
+    /// A request whose header can't be sent is an error, neither a panic nor a second header.
+    header_that_can_not_be_sent_is_an_error => async {
+        let client = HttpClient::new(ClientOptions::default());
+        let server = start_echo_server().await;
+        for value in ["uml\u{e4}ut", "new\r\nline: 1", "nul\0"] {
+            let headers = [("expect-instance", value)];
+            let sent = client.send_with_headers(
+                server.local_addr(), Method::Post, "/", &headers, Vec::new(), 10_000,
+            );
+            assert_eq!(sent.await.unwrap_err().current_context().sent(), Sent::No, "{value:?}");
+        }
+    };
+
     /// A pooled connection that the peer has closed is not reused, so that the next request
     /// counts as not sent.
     request_after_the_server_stopped_counts_as_not_sent => async {
--- a/crates/placement/src/capacity.rs
+++ b/crates/placement/src/capacity.rs
@@ -15,6 +15,10 @@
 }
 
 impl Capacity {
+    /// Maximum capacity of a target and demand of a task, far beyond the largest targets. Sums over
+    /// all targets and all queued tasks stay exact.
+    pub const MAX: Capacity = Capacity { cpu_milli: 10_000_000, memory_mb: 1 << 30, gpus: 100_000 };
+
     /// Returns whether every component of `demand` is at most the component of `self`.
     pub const fn fits(&self, demand: &Capacity) -> bool {
         demand.cpu_milli <= self.cpu_milli
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -12,9 +12,6 @@
 /// Maximum number of tasks in a job; the largest job that users submit has 110.
 pub const MAX_TASKS_PER_JOB: usize = 1_024;
 
-/// Maximum demand of a task, far beyond the largest targets. Sums over all queued tasks stay exact.
-const MAX_DEMAND: Capacity = Capacity { cpu_milli: 10_000_000, memory_mb: 1 << 30, gpus: 100_000 };
-
 /// Maximum declared run time of a task: 30 days.
 const MAX_ESTIMATE_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
 
@@ -191,7 +188,7 @@
             return Err(ValidationError::new("steps", task_count, "1 to 1024 tasks"));
         }
         for (step_index, step) in self.steps.iter().enumerate() {
-            if !MAX_DEMAND.fits(&step.demand) {
+            if !Capacity::MAX.fits(&step.demand) {
                 let demand = format!("{:?}", step.demand);
                 return Err(ValidationError::new(
                     "steps",
--- a/crates/placement/src/target_info.rs
+++ b/crates/placement/src/target_info.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use ggb_model::Zone;
+use ggb_model::{ValidationError, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::{Capacity, StepSpec};
@@ -32,6 +32,25 @@
 }
 
 impl TargetInfo {
+    /// Checks that the identifier can be sent in a header and that the capacity is within its bounds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field that violates its rule.
+    pub fn validate(&self) -> Result<(), ValidationError> {
+        if self.id.is_empty() || !self.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(ValidationError::new("id", &self.id, "visible ASCII characters"));
+        }
+        if !Capacity::MAX.fits(&self.capacity) {
+            return Err(ValidationError::new(
+                "capacity",
+                format!("{:?}", self.capacity),
+                "at most 10,000 cores, 1 PiB and 100,000 accelerators",
+            ));
+        }
+        Ok(())
+    }
+
     /// Returns whether the target has the label; `None` always matches.
     pub fn has_label(&self, label: Option<&str>) -> bool {
         label.is_none_or(|label| self.labels.iter().any(|own| own == label))
