--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -65,6 +65,10 @@
             Fault::Link { .. } => {
                 self.link_rules(fault).into_iter().for_each(|rule| self.relay.add(rule))
             }
+            Fault::Silence(endpoint) => {
+                let to = endpoint.map_or(Endpoints::Any, |endpoint| self.endpoints(endpoint));
+                self.relay.silence_open_connections(&Endpoints::Any, &to);
+            }
             Fault::Store(mode) => self.fleet.store.set_mode(mode),
             Fault::Compact => self.fleet.store.compact(),
             Fault::Configure => {
@@ -93,7 +97,11 @@
             {
                 self.restart(node);
             }
-            Fault::Node(..) | Fault::Compact | Fault::Configure | Fault::Crash(_) => {}
+            Fault::Node(..)
+            | Fault::Compact
+            | Fault::Configure
+            | Fault::Crash(_)
+            | Fault::Silence(_) => {}
             Fault::PowerLoss => (0..self.is_down.len()).for_each(|node| self.restart(node)),
             Fault::Link { .. } => {
                 self.link_rules(fault).iter().for_each(|rule| self.relay.remove(rule));
@@ -277,7 +285,8 @@
 /// * 1000: jobs that crash the targets that start them.
 /// * 1039: a task ends just before its target crashes, then runs beside a task that crashes the
 ///   next one; its job must not fail for that.
-const SEEDS: [u64; 7] = [1, 2, 4, 201, 312, 1_000, 1_039];
+/// * 2000: connections that go silent while new ones work.
+const SEEDS: [u64; 8] = [1, 2, 4, 201, 312, 1_000, 1_039, 2_000];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/greengagebeam/tests/soak/plan.rs
+++ b/crates/greengagebeam/tests/soak/plan.rs
@@ -19,6 +19,12 @@
 /// Share of the jobs that crash targets, from [`FIRST_SEED_WITH_CRASHES`] on.
 const CRASH_PERCENT: u32 = 3;
 
+/// First seed of which open connections go silent. Earlier seeds stay as they were when they failed.
+const FIRST_SEED_WITH_SILENCE: u64 = 2_000;
+
+/// Maximum number of times at which open connections go silent, from [`FIRST_SEED_WITH_SILENCE`] on.
+const MAX_SILENCES: usize = 3;
+
 /// Endpoint of the traffic that a link fault affects.
 #[derive(Clone, Copy, Debug)]
 pub enum LinkEndpoint {
@@ -59,6 +65,8 @@
         effect: LinkEffect,
         both_ways: bool,
     },
+    /// The open connections to an endpoint, or all, deliver nothing more; new ones work.
+    Silence(Option<LinkEndpoint>),
     Store(StoreMode),
     /// The store discards its history of changes.
     Compact,
@@ -121,6 +129,16 @@
                 }
             })
             .collect();
+        if seed >= FIRST_SEED_WITH_SILENCE && !planned_only {
+            let silences = rng.random_range(1..=MAX_SILENCES);
+            faults.extend((0..silences).map(|_| ScheduledFault {
+                start_ms: rng.random_range(500..MAX_FAULT_END_MS),
+                duration_ms: 0,
+                fault: Fault::Silence(
+                    rng.random_bool(0.7).then(|| random_endpoint(&mut rng, size)),
+                ),
+            }));
+        }
         faults.sort_by_key(|scheduled| scheduled.start_ms);
         let callers = rng.random_range(4..=24);
         let crash_percent = if seed < FIRST_SEED_WITH_CRASHES { 0 } else { CRASH_PERCENT };
@@ -136,6 +154,15 @@
     rng.random_range(0..usize::from(size.zones * size.targets_per_zone))
 }
 
+fn random_endpoint(rng: &mut impl Rng, size: FleetSize) -> LinkEndpoint {
+    match rng.random_range(0..4) {
+        0 => LinkEndpoint::Zone(rng.random_range(0..size.zones)),
+        1 => LinkEndpoint::Store,
+        2 => LinkEndpoint::Target(random_target(rng, size)),
+        _ => LinkEndpoint::Node(random_node(rng, size)),
+    }
+}
+
 fn planned_fault(rng: &mut impl Rng, size: FleetSize) -> Fault {
     match rng.random_range(0..4) {
         0 | 1 => Fault::Node(random_node(rng, size), NodeFault::Stop),
@@ -175,18 +202,12 @@
 }
 
 fn link_fault(rng: &mut impl Rng, size: FleetSize) -> Fault {
-    let random_endpoint = |rng: &mut ChaCha8Rng| match rng.random_range(0..4) {
-        0 => LinkEndpoint::Zone(rng.random_range(0..size.zones)),
-        1 => LinkEndpoint::Store,
-        2 => LinkEndpoint::Target(random_target(rng, size)),
-        _ => LinkEndpoint::Node(random_node(rng, size)),
-    };
     let mut endpoint_rng = ChaCha8Rng::seed_from_u64(rng.random());
     let delay_us = rng.random_range(1_000..150_000);
     let effects = [LinkEffect::Cut, LinkEffect::Delay { delay_us }, LinkEffect::Reset];
     Fault::Link {
-        from: random_endpoint(&mut endpoint_rng),
-        to: rng.random_bool(0.6).then(|| random_endpoint(&mut endpoint_rng)),
+        from: random_endpoint(&mut endpoint_rng, size),
+        to: rng.random_bool(0.6).then(|| random_endpoint(&mut endpoint_rng, size)),
         effect: *effects.choose(rng).expect("the list of effects is not empty"),
         both_ways: rng.random_bool(0.6),
     }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,24 +1,34 @@
 //! Reads bodies up to a size limit and builds JSON responses.
 
-use async_std::io::ReadExt as _;
+use std::time::Duration;
+
+use async_std::{future::timeout, io::ReadExt as _};
 use error_stack::{Report, ResultExt as _};
 use http_types::{Body, Request, Response, StatusCode, mime};
 use serde::Serialize;
 
 use crate::HttpError;
 
+/// Maximum time between the head of a request and the end of its body. The largest bodies take a
+/// fraction of a second; a connection that has gone silent would be held for good.
+const BODY_TIMEOUT_MS: u64 = 5_000;
+
 /// Reads the whole body of a request, up to `max_bytes`.
 ///
 /// # Errors
 ///
 /// Fails if the body is larger than `max_bytes` or shorter than its declared length; the
-/// message states the lengths. Also fails if the connection can't be read.
+/// message states the lengths. Also fails if the connection can't be read, or if the body is not
+/// complete after 5 s.
 pub async fn read_body(
     request: &mut Request,
     max_bytes: usize,
 ) -> Result<Vec<u8>, Report<HttpError>> {
     let declared_length = request.len();
-    read_to_end(request.take_body(), declared_length, max_bytes).await
+    let read = read_to_end(request.take_body(), declared_length, max_bytes);
+    let incomplete =
+        || HttpError::body(None, format!("the body is not complete after {BODY_TIMEOUT_MS} ms"));
+    timeout(Duration::from_millis(BODY_TIMEOUT_MS), read).await.change_context_lazy(incomplete)?
 }
 
 /// Returns a response with `value`, serialized as JSON, as its body.
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -113,6 +113,20 @@
         assert!(malformed.contains("400"), "{malformed}");
     };
 
+    /// A request whose connection goes silent within its body ends with an error, so that the server
+    /// can stop.
+    request_is_given_up_when_its_connection_goes_silent_within_its_body => async {
+        let server = start_echo_server().await;
+        let mut silent = TcpStream::connect(server.local_addr()).await.unwrap();
+        let part = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc";
+        silent.write_all(part).await.unwrap();
+        let mut response = [0; 12];
+        silent.read_exact(&mut response).await.unwrap();
+        assert_eq!(&response, b"HTTP/1.1 400");
+        drop(silent);
+        server.stop().await;
+    };
+
     /// A request whose connection is refused counts as not sent; one whose connection breaks
     /// counts as possibly sent.
     errors_tell_whether_the_request_may_have_been_sent => async {
