Fetch a newer configuration at once when a peer sends a job under it

An owner starts jobs that peers take under their own version. It learned of a newer version by heartbeats and fetched it after a lead of 250 ms for the store, so that for up to 450 ms after targets saw work of the newer version the same process could handle a request of its own under the older one; 250 ms are allowed. Jobs now carry the sender's version, and the owner fetches a newer one at once.

Test: `version_of_a_job_from_a_peer_is_fetched_at_once`.

--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -37,6 +37,17 @@
         fetches
     }
 
+    /// Records the version under which a peer has sent a job. Returns whether to fetch it from this peer
+    /// now, without a lead for the store: targets are about to see work of that version from this
+    /// process, which must not handle later requests under an older one.
+    ///
+    /// After `true` no other fetch is due until [`VersionGossip::finish_fetch`] is called.
+    pub const fn record_version_in_use(&mut self, own_version: u64, peer_version: u64) -> bool {
+        let fetches = peer_version > own_version && !self.is_fetching;
+        self.is_fetching |= fetches;
+        fetches
+    }
+
     /// Records that the own version has changed.
     pub const fn record_own_change(&mut self) {
         self.behind_since_ms = None;
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -289,9 +289,19 @@
     ///
     /// Returns `None` if no heartbeat of that incarnation of the peer has arrived.
     pub fn delay_ms(&self, sender: &MessageSender, now_ms: u64) -> Option<u64> {
-        let compare_name = |peer: &PeerState| peer.heartbeat.node.name.cmp(&sender.name);
+        let peer = self.find_peer(&sender.name)?;
+        peer.clock.delay_ms(sender.incarnation, sender.clock_ms, now_ms)
+    }
+
+    /// Returns the address of the peer on the VM `name`, if a heartbeat of it has arrived.
+    pub fn ip_of(&self, name: &str) -> Option<IpAddr> {
+        self.find_peer(name).map(|peer| peer.heartbeat.node.ip)
+    }
+
+    fn find_peer(&self, name: &str) -> Option<&PeerState> {
+        let compare_name = |peer: &PeerState| peer.heartbeat.node.name.as_str().cmp(name);
         let index = self.peers.binary_search_by(compare_name).ok()?;
-        self.peers[index].clock.delay_ms(sender.incarnation, sender.clock_ms, now_ms)
+        Some(&self.peers[index])
     }
 
     /// Returns the name, incarnation and clock that this VM puts into a message that it sends at
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -43,6 +43,14 @@
         assert!(!gossip.record_version(0, 2, 400));
     }
 
+    version_of_a_job_from_a_peer_is_fetched_at_once(gossip) {
+        assert!(!gossip.record_version(1, 2, 0));
+        assert!(gossip.record_version_in_use(1, 2));
+        assert!(!gossip.record_version_in_use(1, 2));
+        gossip.finish_fetch();
+        assert!(!gossip.record_version_in_use(2, 2));
+    }
+
     known_version_is_not_fetched(gossip) {
         assert!(fetch_times_ms(&mut gossip, 1, 600).is_empty());
     }
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use async_std::future::timeout;
+use async_std::{future::timeout, task};
 use ggb_http::{
     ClientConnection, HttpServer, Sent, ServerLimits, json_response, json_text_response, read_body,
 };
@@ -16,7 +16,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::shared::Shared;
+use crate::{configuration::fetch_from_peer, shared::Shared};
 
 /// Time after which an owner replies [`JobReply::Pending`] to a job that has not ended. Also
 /// bounds how long an owner keeps jobs running whose sender is unreachable while the connection to
@@ -62,6 +62,9 @@
 struct JobMessage<S> {
     sender: MessageSender,
     submission: S,
+    /// Version of the sender's configuration; 0 if the sender does not tell.
+    #[serde(default)]
+    configuration_version: u64,
 }
 
 /// Starts the HTTP server for other processes on `addr`.
@@ -76,7 +79,7 @@
     HttpServer::bind(addr, ServerLimits::default(), handler).await
 }
 
-async fn handle_request(shared: &Shared, mut request: Request) -> Response {
+async fn handle_request(shared: &Arc<Shared>, mut request: Request) -> Response {
     match (request.method(), request.url().path()) {
         (Method::Post, "/jobs") => {
             let connection = ClientConnection::of_request(&request);
@@ -116,14 +119,15 @@
 }
 
 async fn submit_job(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     message: JobMessage<Submission>,
     connection: Option<ClientConnection>,
 ) -> Response {
     if connection.as_ref().is_some_and(ClientConnection::is_closed) {
         return Response::new(StatusCode::RequestTimeout);
     }
-    let JobMessage { sender, submission } = message;
+    let JobMessage { sender, submission, configuration_version } = message;
+    fetch_configuration_if_newer(shared, &sender, configuration_version);
     let delay_ms = shared.ownership.lock().delay_ms(&sender, shared.now_ms()).unwrap_or(0);
     if delay_ms > REPLY_TIMEOUT_MS {
         // The sender no longer waits, and may have sent the job to another owner.
@@ -142,6 +146,17 @@
     }
 }
 
+/// Fetches the configuration under which a peer has sent a job, if it is newer than the own one.
+fn fetch_configuration_if_newer(shared: &Arc<Shared>, sender: &MessageSender, peer_version: u64) {
+    let own_version = shared.configuration_version();
+    let Some(ip) = shared.ownership.lock().ip_of(&sender.name) else { return };
+    let fetches =
+        shared.configuration_gossip.lock().record_version_in_use(own_version, peer_version);
+    if fetches {
+        task::spawn(fetch_from_peer(Arc::clone(shared), ip));
+    }
+}
+
 /// Sends a job to the owner at `addr` and returns the owner's reply.
 ///
 /// # Errors
@@ -154,7 +169,8 @@
     submission: &Submission,
 ) -> Result<JobReply, Sent> {
     let sender = shared.ownership.lock().message_sender(shared.now_ms());
-    let message = JobMessage { sender, submission };
+    let configuration_version = shared.configuration_version();
+    let message = JobMessage { sender, submission, configuration_version };
     let body = serde_json::to_vec(&message)
         .expect("a submission serializes to JSON because its map keys are strings");
     let result = shared.http.post(addr, "/jobs", body, REPLY_TIMEOUT_MS).await;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -151,7 +151,7 @@
 /// Records a heartbeat, and acts on its load, claim and configuration version.
 async fn handle_heartbeat(shared: &Arc<Shared>, socket: &UdpSocket, heartbeat: Heartbeat) {
     let ip = heartbeat.node.ip;
-    let own_version = shared.configuration.load().as_ref().map_or(0, |current| current.version);
+    let own_version = shared.configuration_version();
     let peer_version = heartbeat.configuration_version;
     let zone = heartbeat.node.zone.clone();
     let claim = heartbeat.claim_token;
@@ -289,8 +289,7 @@
         (heartbeat, remote, local)
     };
     let mut heartbeat = heartbeat;
-    heartbeat.configuration_version =
-        shared.configuration.load().as_ref().map_or(0, |current| current.version);
+    heartbeat.configuration_version = shared.configuration_version();
     let is_owner = heartbeat.claim_token.is_some();
     let round = now_ms / HEARTBEAT_INTERVAL_MS;
     let losses_since_ms = now_ms.saturating_sub(LOSS_REPORT_MS);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -122,6 +122,11 @@
         self.clock.now_ms()
     }
 
+    /// Returns the version of the active configuration, or 0 if there is none.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        self.configuration.load().as_ref().map_or(0, |current| current.version)
+    }
+
     pub(crate) fn live_settings(&self) -> Arc<NodeSettings> {
         self.live_settings.load_full()
     }
