Do not blame a task whose run was being stopped for a lost target

With an earlier loss the resubmitted job failed at once, although one target had crashed under its task. A run that is being stopped may have ended before, so it no longer proves anything.

Test: `task_whose_run_was_being_stopped_is_not_to_blame_for_a_crash`, which fails without the change.

--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -9,8 +9,8 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobAnswer, JobId, Listing, LossCause, StartRule, Target, TargetInfo, TargetLoss,
-    TargetLosses, TaskId,
+    Dispatcher, JobAnswer, JobId, Listing, LossCause, RunPhase, StartRule, Target, TargetInfo,
+    TargetLoss, TargetLosses, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -86,7 +86,8 @@
                 revision: 0,
                 cause,
                 has_started: target_run.is_confirmed,
-                was_alone: target.runs().len() == 1,
+                // A run that was being stopped may have ended before the target was lost.
+                was_alone: target.runs().len() == 1 && target_run.phase != RunPhase::Stopping,
             };
             self.target_losses.record(loss, now_ms);
         }
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -81,6 +81,22 @@
         assert_eq!(harness.take_answers(), [JobAnswer::Failed]);
     }
 
+    task_whose_run_was_being_stopped_is_not_to_blame_for_a_crash(harness: [32]) {
+        let first = harness.submit(patient_job(JOB, vec![step(2)]));
+        assert_eq!(crash_started_targets(&mut harness, 1), [2]);
+        let (_, run) = harness.take_starts()[0];
+        harness.apply_start_outcome(0, run, StartOutcome::Accepted);
+        harness.apply_listing_of_incarnation(10, 0, &[(run, 10)], &[]);
+        // The run is stopped, and may have ended before its target crashes.
+        harness.dispatcher.remove_request(first, harness.now_ms);
+        harness.advance(200);
+        assert_eq!(harness.take_stops()[0], run);
+        harness.apply_listing_of_incarnation(11, 0, &[], &[]);
+        harness.submit(patient_job(JOB, vec![step(2)]));
+        harness.advance(50);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
     new_owner_gives_up_task_that_crashed_two_targets_of_earlier_owners(harness: [16, 16, 16]) {
         harness.submit(patient_job(JOB, vec![step(1)]));
         crash_started_targets(&mut harness, 2);
