Free the sender of an answer when its request ends without one

An owner kept the sender of an answer for each request whose caller left or that was answered `Pending`, until it stepped down, so that its memory grew with its age. Dropping the request frees it now. Traced by reading; the count is not measured.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -108,6 +108,7 @@
 impl Drop for PendingJob {
     fn drop(&mut self) {
         let request = self.request;
+        self.owner.forget_request(request);
         self.owner.update(|dispatcher, now_ms| dispatcher.remove_request(request, now_ms));
     }
 }
@@ -314,16 +315,19 @@
     }
 
     fn send_answer(&self, request: RequestId, answer: JobAnswer) {
-        let mut state = self.state.lock();
-        if let Ok(index) =
-            state.answer_senders.binary_search_by_key(&request, |(waiting, _)| *waiting)
-        {
-            let (_, sender) = state.answer_senders.remove(index);
+        if let Some(sender) = self.forget_request(request) {
             // Fails if the receiver was dropped, in which case no answer is needed.
             sender.send(answer).ok();
         }
     }
 
+    /// Removes and returns the sender of the answer to a request, if it has not been answered.
+    fn forget_request(&self, request: RequestId) -> Option<oneshot::Sender<JobAnswer>> {
+        let senders = &mut self.state.lock().answer_senders;
+        let index = senders.binary_search_by_key(&request, |(waiting, _)| *waiting).ok()?;
+        Some(senders.remove(index).1)
+    }
+
     async fn send_start(self: Arc<Self>, request: StartRequest) {
         let StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset } = request;
         let reply = self.client.start(
