Treat a held part as lost when its owner refuses connections

What callers saw: tasks that ran twice (TWICE), or a job that was refused with 503 although its tasks had run (REFUSED).

Cause: the process that offloads a part asks its owner again after `Pending`. If that connection was refused, since the owner had been killed, it took the part for refused: no task started. The runs went on until their leases expired. An error of a later round says nothing about the whole; only the owner that held the part, or the lapse of its leases, can. Other loops that map an error of a later round: `route_job` keeps the token of the holder, and `start` to a target has no later round.

--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -58,9 +58,8 @@
             Ok(JobReply::Pending { token }) => routed_job.mark_held_by(token),
             Ok(JobReply::Answered(JobAnswer::Completed)) => return PartOutcome::Completed,
             Ok(JobReply::Answered(JobAnswer::Failed)) => return PartOutcome::Failed,
-            Ok(JobReply::Answered(JobAnswer::Refused { .. })) | Err(Sent::No) => {
-                return PartOutcome::Refused;
-            }
+            Ok(JobReply::Answered(JobAnswer::Refused { .. })) => return PartOutcome::Refused,
+            Err(Sent::No) => return routed_job.outcome_of_refused_connection(),
             Ok(JobReply::Answered(
                 JobAnswer::GivenUp
                 | JobAnswer::Moved { .. }
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -1,6 +1,6 @@
 //! A job that its entry process routes to successive dispatchers.
 
-use crate::{EarlierRuns, Submission};
+use crate::{EarlierRuns, PartOutcome, Submission};
 
 /// A job that its entry process sends to one dispatcher after another until it is answered, with
 /// what the earlier dispatchers reported about it.
@@ -49,6 +49,15 @@
         self.submission.earlier_runs = EarlierRuns::StillHeld;
     }
 
+    /// Returns the outcome of a part whose owner refuses connections: once an owner has reported that
+    /// it holds the part, its tasks may run until their leases expire.
+    pub fn outcome_of_refused_connection(&self) -> PartOutcome {
+        match self.is_unstarted() {
+            true => PartOutcome::Refused,
+            false => PartOutcome::Lost,
+        }
+    }
+
     /// Returns whether it is certain that no task of the job has been started.
     pub fn is_unstarted(&self) -> bool {
         self.submission.holder_token.is_none() && self.submission.earlier_runs == EarlierRuns::None
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -1,6 +1,6 @@
 //! Information that an owner gets about runs of earlier owners.
 
-use ggb_placement::{BatchJob, EarlierRuns, QueueRules, RoutedJob, Submission};
+use ggb_placement::{BatchJob, EarlierRuns, PartOutcome, QueueRules, RoutedJob, Submission};
 
 /// Time after which a caller stops waiting.
 const DEADLINE_MS: u64 = 1_500;
@@ -71,6 +71,12 @@
         assert_eq!(routed_job.submission().excluded_tasks, [(0, 1)]);
     }
 
+    part_that_was_held_is_lost_when_its_owner_refuses_connections(routed_job) {
+        assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Refused);
+        routed_job.mark_held_by(1);
+        assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Lost);
+    }
+
     possibly_taken_job_remains_still_held(routed_job) {
         routed_job.mark_possibly_taken();
         routed_job.mark_moved(vec![], EarlierRuns::None);
