Use the labels of a target only for the incarnation that they describe

What callers saw: tasks that require a label started on a target that had restarted under its id as another kind (ROUTE), for up to 600 ms.

Cause: the dispatcher learns of a new incarnation from a listing and used it at once, with the labels of the entry of the former one. The capacity was checked against the incarnation only for targets that do not enforce it.

Fix: a required label counts only if the entry describes the incarnation that sends listings. A target that enforces its capacity rejects what does not fit, and tasks without a required label start as before.

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Action, Capacity, Dispatcher, JobAnswer, JobId, RefusalReason, RequestId,
-    StepSpec, Submission, Target, TargetInfo,
+    StepSpec, Submission, Target,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -193,13 +193,13 @@
     fn has_capacity_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
         let queue = &job.submission().queue;
         let usable = targets.iter().filter(|target| may_start_on(target, queue, now_ms));
-        let mut free: Vec<(&TargetInfo, Capacity)> =
-            usable.map(|target| (target.info(), target.free())).collect();
+        let mut free: Vec<(&Target, Capacity)> =
+            usable.map(|target| (*target, target.free())).collect();
         let mut unplaced = 0;
         for task_index in job.startable_tasks() {
             let step = job.step(job.tasks[task_index].id);
             let label = step.required_label.as_deref();
-            let fits = |(target, capacity): &&mut (&TargetInfo, Capacity)| {
+            let fits = |(target, capacity): &&mut (&Target, Capacity)| {
                 capacity.fits(&step.demand) && target.has_label(label)
             };
             match free.iter_mut().find(fits) {
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -140,7 +140,7 @@
             may_start_on(target, queue, now_ms)
                 && self.may_share_target(task, target)
                 && target.free().fits(&step.demand)
-                && target.info().has_label(step.required_label.as_deref())
+                && target.has_label(step.required_label.as_deref())
                 && is_below_per_target_limit(target, step, task)
         };
         let cost = |target: &Target| {
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -194,11 +194,21 @@
         self.info.capacity.saturating_sub(&self.used)
     }
 
-    /// Returns whether [`Target::free`] is certain: the demand of every run is known, and the target's
-    /// entry in the target list describes the incarnation that sends listings.
+    /// Returns whether [`Target::free`] is certain: the demand of every run is known, and the capacity
+    /// is that of the incarnation that sends listings.
     pub fn is_free_capacity_known(&self) -> bool {
-        let describes = |clock: ClockReading| clock.started_unix_ms == self.info.started_unix_ms;
-        self.clock.is_some_and(describes) && self.runs.iter().all(|run| run.is_demand_known)
+        self.is_described() && self.runs.iter().all(|run| run.is_demand_known)
+    }
+
+    /// Returns whether the incarnation that sends listings has the label; `None` always matches.
+    pub fn has_label(&self, label: Option<&str>) -> bool {
+        label.is_none() || (self.is_described() && self.info.has_label(label))
+    }
+
+    /// Returns whether the target's entry in the target list describes the incarnation that sends
+    /// listings. Labels and capacity may differ between incarnations.
+    fn is_described(&self) -> bool {
+        self.clock.is_some_and(|clock| clock.started_unix_ms == self.info.started_unix_ms)
     }
 
     /// Returns whether new tasks may be placed on the target now.
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -254,6 +254,25 @@
         assert_eq!(run_targets.collect::<Vec<_>>(), expected.map(Some));
     }
 
+    target_that_restarted_as_another_kind_gets_no_task_for_its_former_labels(harness: [32]) {
+        let labelled = |started_unix_ms, label: &str| TargetInfo {
+            started_unix_ms,
+            labels: vec![label.to_owned()],
+            ..target(0, 32)
+        };
+        harness.dispatcher.upsert_target(labelled(1, "b"));
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        let step = StepSpec { required_label: Some("b".to_owned()), ..step(1) };
+        harness.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![step]) });
+        assert_eq!(harness.take_starts(), []);
+        harness.dispatcher.upsert_target(labelled(2, "a"));
+        harness.advance(5);
+        assert_eq!(harness.take_starts(), []);
+        harness.dispatcher.upsert_target(labelled(2, "b"));
+        harness.advance(5);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
     new_incarnation_of_a_target_gets_a_higher_token(harness: [16]) {
         harness.submit(job(JOB, vec![step(1)]));
         harness.take_actions();
