--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,8 +6,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Action, Capacity, Dispatcher, JobAnswer, JobId, RefusalReason, RequestId,
-    StepSpec, Submission, Target,
+    Action, Capacity, Dispatcher, JobAnswer, JobId, RefusalReason, RequestId, StepSpec, Submission,
+    Target,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
