Bound polls from below, and name run targets in one pass

An owner that steps down looked through all runs once for each job; it sorts them once. The load tool's question for an answer is a long poll, which would have been repeated after 40 of its 60 s. No change at the deadlines of the sites.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -60,14 +60,17 @@
     ) -> SubmissionResult {
         let (sequence, acknowledge_below) = self.allocate_sequence();
         let body = encode_job(workload, job, sequence, acknowledge_below);
-        let mut path = format!("/v1/sessions/{}/jobs/{sequence}?wait_ms={MAX_WAIT_MS}", self.id);
-        let mut reply = client.post(entry, &path, body, REQUEST_TIMEOUT_MS).await;
+        let path =
+            |wait_ms: u32| format!("/v1/sessions/{}/jobs/{sequence}?wait_ms={wait_ms}", self.id);
+        let mut reply = client.post(entry, &path(MAX_WAIT_MS), body, REQUEST_TIMEOUT_MS).await;
         while let Ok(pending) = &reply {
             if pending.status != 202 {
                 break;
             }
-            path = format!("/v1/sessions/{}/jobs/{sequence}?wait_ms={MAX_WAIT_MS}", self.id);
-            reply = client.get(entry, &path, REQUEST_TIMEOUT_MS).await;
+            let paths = (path(MAX_WAIT_MS), path(0));
+            let paths = (paths.0.as_str(), paths.1.as_str());
+            let timeout_ms = REQUEST_TIMEOUT_MS - u64::from(MAX_WAIT_MS);
+            reply = client.long_poll(entry, paths, MAX_WAIT_MS.into(), timeout_ms).await;
         }
         self.complete_sequence(sequence);
         match reply {
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -13,6 +13,10 @@
 /// reading the table on another connection.
 const LONG_POLL_DEADLINE_DIVISOR: u64 = 2;
 
+/// Minimum time for which the store holds a long poll open. Without it a deadline of a few ms would let
+/// polls follow each other without a pause.
+const MIN_LONG_POLL_MS: u64 = 100;
+
 /// Delay before the store is read again after a failure.
 const RETRY_DELAY_MS: u64 = 300;
 
@@ -27,7 +31,10 @@
     loop {
         let deadline_ms = shared.live_settings().configuration_deadline_ms;
         // While reads fail changes may be missed, so the next read does not wait for another one.
-        let wait_ms = if is_behind { 0 } else { deadline_ms / LONG_POLL_DEADLINE_DIVISOR };
+        let wait_ms = match is_behind {
+            true => 0,
+            false => (deadline_ms / LONG_POLL_DEADLINE_DIVISOR).max(MIN_LONG_POLL_MS),
+        };
         let last_read_at_ms = shared.configuration_read.at_ms();
         let read = WatchedTable::Configuration.changes_since(&shared, version, wait_ms).await;
         is_behind = read.is_err();
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -228,8 +228,17 @@
 
     /// Releases all targets and answers every caller that the next dispatcher continues its job.
     pub fn step_down(&mut self) {
-        for job in std::mem::take(&mut self.jobs) {
-            let run_targets = job.submission().run_targets_with(self.targets_with_runs(job.id()));
+        let mut runs: Vec<(JobId, &Arc<str>)> = Vec::new();
+        for target in &self.targets {
+            let target_id = &target.info().id;
+            runs.extend(target.runs().iter().map(|run| (run.run.task.job, target_id)));
+        }
+        runs.sort_unstable();
+        for job in self.jobs.drain(..) {
+            let first = runs.partition_point(|(other, _)| *other < job.id());
+            let of_job = runs[first..].iter().take_while(|(other, _)| *other == job.id());
+            let run_targets = of_job.map(|(_, target)| Arc::clone(target));
+            let run_targets = job.submission().run_targets_with(run_targets);
             let moved = job.requests().iter().map(|request| Action::Answer {
                 request: *request,
                 answer: JobAnswer::Moved {
@@ -244,7 +253,7 @@
         self.offloaded_parts.clear();
     }
 
-    /// Returns the targets on which runs of a job may be active.
+    /// Returns the targets that have runs of a job.
     fn targets_with_runs(&self, job: JobId) -> impl Iterator<Item = Arc<str>> {
         let has_run =
             move |target: &&Target| target.runs().iter().any(|run| run.run.task.job == job);
