--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -113,8 +113,7 @@
         assert!(malformed.contains("400"), "{malformed}");
     };
 
-    /// A request whose connection goes silent within its body ends with an error, so that the server
-    /// can stop.
+    /// A request whose body never arrives ends with an error, so that the server can stop.
     request_is_given_up_when_its_connection_goes_silent_within_its_body => async {
         let server = start_echo_server().await;
         let mut silent = TcpStream::connect(server.local_addr()).await.unwrap();
@@ -179,8 +178,7 @@
         assert_eq!(client.take_silent_peers(), []);
     };
 
-    /// A poll on a connection that has gone silent is followed by a read on a new one once the peer
-    /// should have answered, although the poll itself has not timed out.
+    /// A poll on a silent connection is followed by a read on a new one before it times out.
     poll_on_a_silent_connection_is_answered_on_a_new_one => async {
         let addr = start_server_with_silent_connection().await;
         let client = HttpClient::new(ClientOptions::default());
