End the runs of a job before its caller sends it again

A caller whose connection breaks sends its job again after 1,300 ms, to any process. That process starts it at once if it knows of no run, and three paths leave it without knowledge: another zone, targets that are silent to a new owner only, parts in other zones whose holders are lost too.

Cause: what kept this safe was a sum that nobody had checked. A holder may go on for 550 ms after its sender is gone (400 ms until it replies, 150 ms of grace), and may be lost just before it stops the runs, whose leases then take 1,080 ms to expire: 1,630 ms, not 1,300. Parts add another 550 ms for each holder.

Fix: an entry process tells with each submission when it last found its caller connected; parts carry that time on. Owners ask for leases that end 1,230 ms after the earliest such time among the jobs of a target, and start tasks only within 303 ms of it. So the runs of a job end before its caller returns, whatever became of every process that had it, and need no knowledge to be safe. Owners reply after 250 ms, not 400, and ask for 850 ms, so that the bound is not felt in calm operation. A new owner renews a lease as soon as the last orphan of the target is adopted: before, up to 300 ms later.

Considered: holding new jobs back after the loss of another zone's owner (delays everybody); asking all targets of all zones (cut-off ones don't answer); shorter leases alone (would have to be 500 ms, and lapse at each takeover).

Without the bound (leases of 1,000 ms, reply after 400 ms) the two tests with lost zones fail; `callers_return_to_an_owner_without_the_targets_of_their_runs` passes in the simulation without it too, and guards only. With leases of 850 ms but no bound, `lease_ends_before_the_caller_of_a_run_returns` and three more of takeover.rs fail.

--- a/crates/greengagebeam/src/bin/ggb-node.rs
+++ b/crates/greengagebeam/src/bin/ggb-node.rs
@@ -3,8 +3,8 @@
 use std::{net::IpAddr, path::PathBuf};
 
 use bpaf::Bpaf;
-use ggb_adapter::{NodeSettings, SETTINGS_VARIABLE};
-use ggb_node::{NodeListeners, NodeProcess};
+use ggb_adapter::SETTINGS_VARIABLE;
+use ggb_node::{NodeListeners, NodeProcess, read_settings};
 use ggb_telemetry::{init_stdout_logs, log_event};
 use greengagebeam::{
     ExitCode, SettingsChecker, SettingsError, SignalRequest, exit_with, signal_requests,
@@ -44,7 +44,7 @@
 #[async_std::main]
 async fn main() {
     let args = node_args().run();
-    let settings = NodeSettings::read(&args.settings)
+    let settings = read_settings(&args.settings)
         .unwrap_or_else(|error| exit_with(ExitCode::InvalidSettings, format!("{error:?}")));
     let port = args.metrics_port();
     let port = port.unwrap_or_else(|error| exit_with(ExitCode::InvalidSettings, error));
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -22,7 +22,7 @@
 use crate::{
     open_requests::OpenRequest,
     owner::Owner,
-    peer_api::{JobReply, send_job},
+    peer_api::{JobReply, MAX_REPLY_DELAY_MS, send_job},
     shared::Shared,
 };
 
@@ -120,6 +120,7 @@
         holder_token: None,
         waited_ms: 0,
         deadline_ms,
+        caller_check_age_ms: 0,
     };
     let _open_request = shared.open_requests.insert(OpenRequest { job: id, received_at_ms });
     let outcome =
@@ -226,17 +227,23 @@
     loop {
         // A process that was paused may not have been told yet. Its owner may have stopped the job,
         // and the caller sent it again, so that another submission would start it a second time.
+        // The time is read first, since a pause may follow the check.
+        let checked_at_ms = shared.now_ms();
         if connection.is_some_and(ClientConnection::is_closed) {
             return JobAnswer::Unknown;
         }
-        let waited_ms = shared.now_ms() - received_at_ms;
+        let now_ms = shared.now_ms();
+        let waited_ms = now_ms - received_at_ms;
         if let Some((ip, location)) = find_owner(shared) {
-            let submission = routed_job.submission_after(waited_ms);
+            let submission = routed_job.submission_after(waited_ms, now_ms - checked_at_ms);
             let reply = match location {
                 OwnerLocation::Local(owner) => {
-                    Ok(JobReply::Answered(owner.submit(submission.clone()).answer().await))
+                    let answer = wait_for_local_answer(shared, &owner, submission, connection);
+                    Ok(JobReply::Answered(answer.await))
+                }
+                OwnerLocation::Remote => {
+                    send_job(shared, shared.peer_addr(ip), submission, now_ms).await
                 }
-                OwnerLocation::Remote => send_job(shared, shared.peer_addr(ip), submission).await,
             };
             match reply {
                 Ok(JobReply::Pending { token }) => {
@@ -266,6 +273,29 @@
     }
 }
 
+/// Submits a job to the owner in this process and waits for the answer, while it tells the owner that
+/// the caller is connected.
+async fn wait_for_local_answer(
+    shared: &Shared,
+    owner: &Arc<Owner>,
+    submission: &Submission,
+    connection: Option<&ClientConnection>,
+) -> JobAnswer {
+    let id = submission.job.id;
+    let mut pending_job = owner.submit(submission.clone());
+    loop {
+        let answer = timeout(Duration::from_millis(MAX_REPLY_DELAY_MS), pending_job.answer());
+        if let Ok(answer) = answer.await {
+            return answer;
+        }
+        let checked_at_ms = shared.now_ms();
+        if connection.is_some_and(ClientConnection::is_closed) {
+            return JobAnswer::Unknown;
+        }
+        owner.record_caller_check(id, checked_at_ms);
+    }
+}
+
 fn refusal_response(reason: &str, retry_after_ms: u64) -> Response {
     let mut response = json_response(StatusCode::ServiceUnavailable, &json!({ "error": reason }));
     if retry_after_ms > 0 {
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -10,13 +10,12 @@
 };
 use ggb_http::Sent;
 use ggb_model::Zone;
-use ggb_placement::{JobAnswer, PART_EXPIRY_MS, PartOutcome, RoutedJob, Submission};
+use ggb_placement::{CALLER_EXPIRY_MS, JobAnswer, PartOutcome, RoutedJob, Submission};
 use ggb_telemetry::log_event;
 
 use crate::{
     owner::Owner,
     peer_api::{JobReply, send_job},
-    shared::Shared,
 };
 
 /// Runs a part of a job on the targets of another zone and passes the outcome to `owner`.
@@ -31,7 +30,7 @@
     cancelled: oneshot::Receiver<()>,
 ) {
     let outcome = {
-        let send = send_part(owner.shared(), &zone, &submission);
+        let send = send_part(&owner, &zone, &submission);
         pin_mut!(send);
         match select(send, cancelled).await {
             Either::Left((outcome, _)) => outcome,
@@ -39,13 +38,15 @@
         }
     };
     if outcome == PartOutcome::Lost {
-        task::sleep(Duration::from_millis(PART_EXPIRY_MS)).await;
+        task::sleep(Duration::from_millis(CALLER_EXPIRY_MS)).await;
     }
     owner.apply_part_outcome(part, outcome);
 }
 
 /// Sends a part to the owner of `zone` until that owner answers or contact is lost.
-async fn send_part(shared: &Shared, zone: &Zone, submission: &Submission) -> PartOutcome {
+async fn send_part(owner: &Owner, zone: &Zone, submission: &Submission) -> PartOutcome {
+    let shared = owner.shared();
+    let received_at_ms = shared.now_ms().saturating_sub(submission.waited_ms);
     let remote_owner = {
         let ownership = shared.ownership.lock();
         ownership.owner_of(zone).map(|owner| owner.heartbeat.node.ip)
@@ -54,7 +55,12 @@
     let addr = shared.peer_addr(remote_owner);
     let mut routed_job = RoutedJob::new(submission.clone());
     loop {
-        match send_job(shared, addr, routed_job.submission()).await {
+        let now_ms = shared.now_ms();
+        // The job stays known until its parts have ended or were cancelled.
+        let checked_at_ms = owner.caller_checked_at_ms(submission.job.id).unwrap_or(0);
+        let submission = routed_job
+            .submission_after(now_ms - received_at_ms, now_ms.saturating_sub(checked_at_ms));
+        match send_job(shared, addr, submission, now_ms).await {
             Ok(JobReply::Pending { token }) => routed_job.mark_held_by(token),
             Ok(JobReply::Answered(JobAnswer::Completed)) => return PartOutcome::Completed,
             Ok(JobReply::Answered(JobAnswer::Failed)) => return PartOutcome::Failed,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,4 +31,5 @@
 pub use crate::{
     metrics::NodeMetrics,
     process::{BindError, NodeListeners, NodeProcess},
+    settings_file::{UnusableSettings, read_settings},
 };
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -14,8 +14,8 @@
 use ggb_adapter::{ListingReply, StartReply, TargetClient};
 use ggb_model::Zone;
 use ggb_placement::{
-    Action, Dispatcher, EarlierRuns, JobAnswer, Load, MAX_LEASE_MS, PartOutcome, RequestId, Run,
-    Submission, TargetInfo, TargetLoss, TargetLosses,
+    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load, PartOutcome,
+    RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -72,15 +72,6 @@
     JobAnswer::Moved { done: Vec::new(), earlier_runs: EarlierRuns::AnyZone, run_targets: None }
 }
 
-/// A request for the listing of a target.
-struct ListingRequest {
-    addr: SocketAddr,
-    token_offset: u64,
-    ack_cursor: u64,
-    lease_until_clock_ms: Option<u64>,
-    wait_ms: u64,
-}
-
 /// A request to a target to start a run.
 struct StartRequest {
     target: Arc<str>,
@@ -218,6 +209,17 @@
         pending_job
     }
 
+    /// Records that the caller of a job was found connected at `checked_at_ms`.
+    pub(crate) fn record_caller_check(self: &Arc<Self>, job: JobId, checked_at_ms: u64) {
+        self.update(|dispatcher, _| dispatcher.record_caller_check(job, checked_at_ms));
+    }
+
+    /// Returns the time at which a caller of a job was last found connected, or `None` if the job is
+    /// not known.
+    pub(crate) fn caller_checked_at_ms(&self, job: JobId) -> Option<u64> {
+        self.state.lock().dispatcher.caller_checked_at_ms(job)
+    }
+
     /// Updates the number of tasks that the targets of another zone have free capacity for.
     pub(crate) fn update_remote_capacity(self: &Arc<Self>, zone: &Zone, free_tasks: u64) {
         self.update(|dispatcher, now_ms| {
@@ -390,23 +392,11 @@
     /// Requests a listing of a target. Returns whether the target sent one, or `None` if the
     /// dispatcher does not know the target.
     async fn request_listing(self: &Arc<Self>, target: &str, wait_ms: u64) -> Option<bool> {
-        let request = self.update(|dispatcher, now_ms| {
-            let known = dispatcher.target_mut(target)?;
-            let is_current = known.has_current_listing() && !known.is_unreachable();
-            let clock_ms = known.estimated_clock_ms(now_ms).filter(|_| known.can_renew_lease());
-            if clock_ms.is_some() {
-                known.record_lease_renewal(now_ms);
-            }
-            Some(ListingRequest {
-                addr: known.info().addr,
-                token_offset: known.token_offset(),
-                ack_cursor: known.ack_cursor(),
-                lease_until_clock_ms: clock_ms.map(|clock_ms| clock_ms + MAX_LEASE_MS),
-                wait_ms: if is_current { wait_ms } else { 0 },
-            })
-        })?;
-        let ListingRequest { addr, token_offset, ack_cursor, lease_until_clock_ms, wait_ms } =
+        let request =
+            self.update(|dispatcher, now_ms| dispatcher.listing_request(target, now_ms))?;
+        let ListingRequest { addr, token_offset, ack_cursor, lease_until_clock_ms, may_wait } =
             request;
+        let wait_ms = if may_wait { wait_ms } else { 0 };
         let requested_at_ms = self.shared.now_ms();
         let reply = self.client.fetch_listing(
             self.token + token_offset,
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -21,10 +21,13 @@
 /// Time after which an owner replies [`JobReply::Pending`] to a job that has not ended. Also
 /// bounds how long an owner keeps jobs running whose sender is unreachable while the connection to
 /// it still appears open.
-const MAX_REPLY_DELAY_MS: u64 = 400;
+///
+/// The sender checks its caller before it sends the job again, and tasks of a job start only while
+/// the last check is recent.
+pub(crate) const MAX_REPLY_DELAY_MS: u64 = 250;
 
-/// Maximum time that the network takes for a request and its reply.
-const NETWORK_TIMEOUT_MS: u64 = 200;
+/// Maximum time that the network and slow processes take for a request and its reply.
+const NETWORK_TIMEOUT_MS: u64 = 350;
 
 /// Time for which the sender of a job waits for the reply. A job that arrives later than this is
 /// rejected, since its sender no longer waits and may have sent the job to another owner.
@@ -126,7 +129,7 @@
     if connection.as_ref().is_some_and(ClientConnection::is_closed) {
         return Response::new(StatusCode::RequestTimeout);
     }
-    let JobMessage { sender, submission, configuration_version } = message;
+    let JobMessage { sender, mut submission, configuration_version } = message;
     fetch_configuration_if_newer(shared, &sender, configuration_version);
     let delay_ms = shared.ownership.lock().delay_ms(&sender, shared.now_ms()).unwrap_or(0);
     if delay_ms > REPLY_TIMEOUT_MS {
@@ -137,6 +140,7 @@
     let Some(owner) = shared.owner.load_full() else {
         return json_response(StatusCode::Ok, &JobReply::Answered(JobAnswer::NotTaken));
     };
+    submission.caller_check_age_ms = submission.caller_check_age_ms.saturating_add(delay_ms);
     let mut pending_job = owner.submit(submission);
     let answer = timeout(Duration::from_millis(MAX_REPLY_DELAY_MS), pending_job.answer());
     match ClientConnection::run_until_closed(connection.as_ref(), answer).await {
@@ -157,7 +161,8 @@
     }
 }
 
-/// Sends a job to the owner at `addr` and returns the owner's reply.
+/// Sends a job to the owner at `addr` and returns the owner's reply. `sent_at_ms` is the time to which
+/// the ages in the submission refer.
 ///
 /// # Errors
 ///
@@ -167,8 +172,9 @@
     shared: &Shared,
     addr: SocketAddr,
     submission: &Submission,
+    sent_at_ms: u64,
 ) -> Result<JobReply, Sent> {
-    let sender = shared.ownership.lock().message_sender(shared.now_ms());
+    let sender = shared.ownership.lock().message_sender(sent_at_ms);
     let configuration_version = shared.configuration_version();
     let message = JobMessage { sender, submission, configuration_version };
     let body = serde_json::to_vec(&message)
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -8,6 +8,7 @@
 mod listings;
 mod losses;
 mod place;
+mod renewal;
 
 use std::sync::Arc;
 
@@ -24,7 +25,8 @@
 
 pub use crate::dispatcher::{
     action::{Action, Load, RequestId, StartOutcome},
-    lending::{PART_EXPIRY_MS, PartOutcome},
+    lending::PartOutcome,
+    renewal::ListingRequest,
 };
 
 /// Maximum number of cached answers.
@@ -226,6 +228,19 @@
         }
     }
 
+    /// Records that an entry process found a caller of a job connected at `checked_at_ms`.
+    pub fn record_caller_check(&mut self, id: JobId, checked_at_ms: u64) {
+        if let Some(job) = self.job_mut(id) {
+            job.record_caller_check(checked_at_ms);
+        }
+    }
+
+    /// Returns the time at which an entry process last found a caller of a job connected, or `None` if
+    /// the job is not known.
+    pub fn caller_checked_at_ms(&self, id: JobId) -> Option<u64> {
+        self.job(id).map(JobState::caller_checked_at_ms)
+    }
+
     /// Releases all targets and answers every caller that the next dispatcher continues its job.
     pub fn step_down(&mut self) {
         let mut runs: Vec<(JobId, &Arc<str>)> = Vec::new();
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -67,6 +67,7 @@
         }
         if let Some(job) = self.job_mut(id) {
             let was_abandoned = job.phase() == JobPhase::Abandoned;
+            job.record_caller_check(submission.caller_checked_at_ms(now_ms));
             job.add_request(request, submission.caller_deadline_ms(now_ms));
             if was_abandoned && job.waiting_tasks() > 0 {
                 self.enqueue(id);
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -66,6 +66,8 @@
     arrived_at_ms: u64,
     /// Time at which the last of the callers stops waiting.
     caller_deadline_ms: u64,
+    /// Time at which an entry process last found a caller connected.
+    caller_checked_at_ms: u64,
     /// Response time objective, counted from `received_at_ms`.
     objective_ms: u64,
     has_started: bool,
@@ -101,6 +103,7 @@
             received_at_ms: submission.received_at_ms(now_ms),
             arrived_at_ms: now_ms,
             caller_deadline_ms: submission.caller_deadline_ms(now_ms),
+            caller_checked_at_ms: submission.caller_checked_at_ms(now_ms),
             has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
             is_late: false,
@@ -156,6 +159,15 @@
         self.phase = JobPhase::Open;
     }
 
+    /// Records that an entry process found a caller connected at `checked_at_ms`.
+    pub(super) fn record_caller_check(&mut self, checked_at_ms: u64) {
+        self.caller_checked_at_ms = self.caller_checked_at_ms.max(checked_at_ms);
+    }
+
+    pub(super) const fn caller_checked_at_ms(&self) -> u64 {
+        self.caller_checked_at_ms
+    }
+
     pub(super) fn remove_request(&mut self, request: RequestId, now_ms: u64) {
         let previous_count = self.requests.len();
         self.requests.retain(|other| *other != request);
@@ -389,6 +401,7 @@
             holder_token: None,
             excluded_tasks: others.map(|(_, task)| (task.id.step, task.id.index)).collect(),
             waited_ms: now_ms.saturating_sub(self.received_at_ms),
+            caller_check_age_ms: now_ms.saturating_sub(self.caller_checked_at_ms),
             ..self.submission.clone()
         }
     }
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -9,15 +9,10 @@
 use ggb_telemetry::log_job_event;
 
 use crate::{
-    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, LEASE_EXPIRY_MS,
+    Action, Dispatcher, EarlierRuns, JobAnswer, JobId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
-/// Time after the last message to another zone's dispatcher by which no task of an offloaded part
-/// can be running any more: that dispatcher stops runs that nobody waits for, and the leases of
-/// targets that it cannot reach expire.
-pub const PART_EXPIRY_MS: u64 = LEASE_EXPIRY_MS + 150;
-
 /// Time for which a zone that refused a part is offered no other. A refusal usually means that the
 /// zone has less free capacity than it reported, too little for a task of average demand.
 const REFUSED_PART_BACKOFF_MS: u64 = 20;
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -217,6 +217,11 @@
         let queued = job.waiting_tasks() > 0;
         log_event!(info, RunAdopted, run = %run, target = %target_id);
         self.targets[target_index].adopt(run, demand, expected_ms, now_ms);
+        // The lease was last renewed by the earlier dispatcher. A renewal that waits for the next
+        // end would come too late for it.
+        if self.targets[target_index].can_renew_lease() {
+            self.request_listing(target_index, now_ms);
+        }
         if !queued {
             self.dequeue(run.task.job);
         }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -8,9 +8,10 @@
 use ggb_telemetry::log_job_event;
 
 use crate::{
-    Action, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS, PART_EXPIRY_MS, QueueRules,
-    Run, StepSpec, Target, TaskId,
+    Action, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS,
+    QueueRules, Run, StepSpec, Target, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
+    target::MAX_CHECK_AGE_MS,
 };
 
 /// Maximum time for which a former holder of a job may continue to start its tasks after it lost
@@ -27,9 +28,11 @@
         let mut largest_free = self.largest_free(now_ms);
         let ids: Vec<JobId> = self.queue.iter().map(|entry| entry.job).collect();
         for id in ids {
-            let are_earlier_runs_known =
-                self.job(id).is_some_and(|job| self.are_earlier_runs_known(job, now_ms));
-            if !are_earlier_runs_known {
+            let may_start = self.job(id).is_some_and(|job| {
+                now_ms <= job.caller_checked_at_ms() + MAX_CHECK_AGE_MS
+                    && self.are_earlier_runs_known(job, now_ms)
+            });
+            if !may_start {
                 continue;
             }
             let can_offload = self.offloadable_tasks(now_ms) > 0;
@@ -100,9 +103,9 @@
             }
             // Dispatchers that cannot reach each other may be active at the same time, so that the
             // earlier one may have offloaded tasks until it released the job.
-            EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + PART_EXPIRY_MS,
+            EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + CALLER_EXPIRY_MS,
             EarlierRuns::StillHeld => {
-                now_ms >= job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + PART_EXPIRY_MS
+                now_ms >= job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + CALLER_EXPIRY_MS
             }
         }
     }
@@ -111,7 +114,9 @@
     /// all targets that answer have sent a listing, or their leases must have expired.
     ///
     /// A silent target doesn't count, since most such targets have crashed. Waiting for their
-    /// leases after each change of the owner would delay all new jobs by a second.
+    /// leases after each change of the owner would delay all new jobs by a second. Runs that such
+    /// a target still has, and runs in other zones, end before their caller sends the job again, see
+    /// [`CALLER_EXPIRY_MS`].
     pub(super) fn are_zone_runs_known(&self, service: &str, now_ms: u64) -> bool {
         let mut targets = self.targets_of(service).peekable();
         now_ms >= self.took_over_at_ms + LEASE_EXPIRY_MS
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -282,6 +282,10 @@
     pub waited_ms: u64,
     /// Time from that receipt after which the caller stops waiting, in ms.
     pub deadline_ms: u64,
+    /// Time since the entry process last found the caller connected, in ms; 0 from a process that
+    /// does not report it.
+    #[serde(default)]
+    pub caller_check_age_ms: u64,
 }
 
 impl Submission {
@@ -295,6 +299,11 @@
         self.received_at_ms(now_ms).saturating_add(self.deadline_ms)
     }
 
+    /// Returns the time at which the entry process last found the caller connected.
+    pub(crate) const fn caller_checked_at_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.caller_check_age_ms)
+    }
+
     /// Adds the targets on which a dispatcher of this zone may still have runs of the job.
     pub(crate) fn add_run_targets(&mut self, targets: impl IntoIterator<Item = Arc<str>>) {
         self.run_targets = self.run_targets_with(targets);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use crate::{
     capacity::Capacity,
-    dispatcher::{Action, Dispatcher, Load, PART_EXPIRY_MS, PartOutcome, RequestId, StartOutcome},
+    dispatcher::{Action, Dispatcher, ListingRequest, Load, PartOutcome, RequestId, StartOutcome},
     estimate::RunTimes,
     job::{
         BatchJob, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
@@ -37,7 +37,7 @@
     },
     listing::{ListedEnd, ListedRun, Listing},
     routed_job::RoutedJob,
-    target::{LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
+    target::{CALLER_EXPIRY_MS, LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
     target_info::TargetInfo,
     target_loss::{LossCause, LossCount, StartRule, TargetLoss, TargetLosses},
     target_run::{EndedRun, RunPhase, TargetRun},
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -25,9 +25,15 @@
         &self.submission
     }
 
-    /// Returns the submission to send `waited_ms` after it was received from the caller.
-    pub const fn submission_after(&mut self, waited_ms: u64) -> &Submission {
+    /// Returns the submission to send `waited_ms` after it was received from the caller, who was last
+    /// found connected `caller_check_age_ms` ago.
+    pub const fn submission_after(
+        &mut self,
+        waited_ms: u64,
+        caller_check_age_ms: u64,
+    ) -> &Submission {
         self.submission.waited_ms = waited_ms;
+        self.submission.caller_check_age_ms = caller_check_age_ms;
         &self.submission
     }
 
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -5,13 +5,43 @@
 /// Maximum lease that a target grants.
 pub const MAX_LEASE_MS: u64 = 1_000;
 
+/// Longest lease that a dispatcher asks for. It outlasts a lost renewal and the takeover by another
+/// process, and leaves a dispatcher [`MAX_CHECK_AGE_MS`] to hear from the callers of its jobs.
+const LEASE_MS: u64 = 850;
+
 /// Time for which a start request is valid. Within a zone a request usually takes 1 ms; a target
 /// rejects a request that arrives after this time, since it was delayed in flight.
 pub const START_REQUEST_VALIDITY_MS: u64 = 100;
 
 /// Time after sending a lease renewal by which the lease has certainly expired: [`MAX_LEASE_MS`] on
 /// a clock that may be 2% slow, plus 60 ms for the time that the renewal was in flight.
-pub const LEASE_EXPIRY_MS: u64 = MAX_LEASE_MS + MAX_LEASE_MS / 50 + 60;
+pub const LEASE_EXPIRY_MS: u64 = lease_expiry_ms(MAX_LEASE_MS);
+
+/// Time for which the renewal of a lease may be in flight.
+const RENEWAL_TRANSIT_MS: u64 = 60;
+
+/// Time after the last check that the caller of a job is connected by which no run of the job is in
+/// progress, whatever became of the processes that handled it since. Callers return later than
+/// that, so that a process that knows nothing of the former runs can start the job again.
+pub const CALLER_EXPIRY_MS: u64 = 1_230;
+
+/// Maximum time since the last check that the caller of a job is connected for the job's tasks to
+/// start: a lease that the target was granted just before expires within [`CALLER_EXPIRY_MS`] of the
+/// check.
+pub(crate) const MAX_CHECK_AGE_MS: u64 = CALLER_EXPIRY_MS - lease_expiry_ms(LEASE_MS);
+
+/// Returns the time after a request for a lease by which the lease has expired on a clock that may
+/// be 2% slow.
+const fn lease_expiry_ms(lease_ms: u64) -> u64 {
+    lease_ms + lease_ms / 50 + RENEWAL_TRANSIT_MS
+}
+
+/// Returns the lease to ask for now so that it expires by `expiry_ms`, or `None` if it is too late for
+/// any.
+pub(crate) fn lease_until_expiry_ms(expiry_ms: u64, now_ms: u64) -> Option<u64> {
+    let left_ms = expiry_ms.checked_sub(now_ms + RENEWAL_TRANSIT_MS)? * 50 / 51;
+    (left_ms > 0).then_some(left_ms.min(LEASE_MS))
+}
 
 /// Number of consecutive failed runs after which a target gets only one task at a time. On healthy
 /// targets 2 runs in 1,000 fail.
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -160,7 +160,54 @@
     return_from_slow_owner(sim, lag_ms, 2_500, 1);
 });
 
-case!(all_faults_combined, 0..200, |sim| {
+/// Submits long jobs in zone 0, loses their entry process within 700 ms, and has their callers return
+/// in `zone`. The owner of zone 0 is slow from then on.
+fn lose_entry_of_long_jobs(sim: &mut Simulation, count: usize, zone: usize) {
+    let callers: Vec<usize> = (0..count).map(|_| sim.submit(0, &LONG_QUOTE)).collect();
+    let pause_ms = 20 + sim.random_below(700);
+    sim.run_until(sim.now_ms + pause_ms);
+    let lag_ms = sim.random_below(300);
+    sim.lag_owner(0, lag_ms);
+    callers.into_iter().for_each(|caller_index| sim.lose_entry(caller_index, zone));
+}
+
+/// Longest time after the loss of an entry process for which an owner may not have noticed it.
+const NOTICE_MS: u64 = 550;
+
+/// Runs for part of the time within which a process notices that another one is lost.
+fn pause_until_notice(sim: &mut Simulation) {
+    let pause_ms = sim.random_below(NOTICE_MS);
+    sim.run_until(sim.now_ms + pause_ms);
+}
+
+// The owner is lost just before it notices that the entry process is, with the whole zone.
+case!(callers_return_in_another_zone_after_entry_process_and_owner_are_lost, 0..60, |sim| {
+    lose_entry_of_long_jobs(sim, 4, 1);
+    pause_until_notice(sim);
+    sim.kill_owner_for(0, 3_000);
+    submit_random_jobs(sim, 3_000, 0);
+});
+
+// The next owner of the zone takes targets that it can't reach for crashed ones.
+case!(callers_return_to_an_owner_without_the_targets_of_their_runs, 0..60, |sim| {
+    lose_entry_of_long_jobs(sim, 4, 0);
+    pause_until_notice(sim);
+    sim.cut_targets_off_from_next_owners(0, 3_000);
+    sim.kill_owner(0);
+    submit_random_jobs(sim, 3_000, 0);
+});
+
+// Each holder of a part is lost just before it notices that the one before it is.
+case!(callers_return_after_every_holder_of_their_parts_is_lost, 0..60, |sim| {
+    lose_entry_of_long_jobs(sim, 14, 2);
+    for zone in [0, 1] {
+        pause_until_notice(sim);
+        sim.kill_owner_for(zone, 3_000);
+    }
+    submit_random_jobs(sim, 3_000, 0);
+});
+
+fn combine_all_faults(sim: &mut Simulation) {
     sim.faults = Faults { lost: 15, late: 15, unanswered: 15 };
     for _ in 0..12 {
         submit_random_jobs(sim, 400, 20);
@@ -184,4 +231,9 @@
             }
         }
     }
-});
+}
+
+case!(all_faults_combined, (0..122).chain(123..200), combine_all_faults);
+
+// A run ends on a target whose listing is lost, and the target crashes just then.
+case!(all_faults_combined_seed_122, 122..123, combine_all_faults);
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -3,9 +3,9 @@
 pub use std::sync::Arc;
 
 pub use ggb_placement::{
-    Action, BatchJob, Capacity, Dispatcher, EarlierRuns, JobAnswer, LEASE_EXPIRY_MS, ListedEnd,
-    ListedRun, Listing, PART_EXPIRY_MS, PartOutcome, QueueRules, RefusalReason, RequestId,
-    RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec, Submission, TargetInfo,
+    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId,
+    LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, PartOutcome, QueueRules, RefusalReason,
+    RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec, Submission, TargetInfo,
 };
 
 /// Time after which a caller stops waiting.
@@ -18,6 +18,8 @@
     pub dispatcher: Dispatcher,
     pub now_ms: u64,
     pub next_request: u64,
+    /// Submitted jobs, whose callers stay connected until the test says otherwise.
+    pub connected: Vec<JobId>,
 }
 
 impl Harness {
@@ -38,12 +40,13 @@
         for (index, cores) in cores.iter().enumerate() {
             dispatcher.upsert_target(target(index, *cores));
         }
-        Harness { dispatcher, now_ms, next_request: 0 }
+        Harness { dispatcher, now_ms, next_request: 0, connected: Vec::new() }
     }
 
     pub fn submit(&mut self, submission: Submission) -> RequestId {
         let request = RequestId(self.next_request);
         self.next_request += 1;
+        self.connected.push(submission.job.id);
         self.dispatcher.submit(submission, request, self.now_ms);
         request
     }
@@ -52,6 +55,9 @@
     pub fn advance(&mut self, ms: u64) {
         for _ in 0..ms / 5 {
             self.now_ms += 5;
+            for job in &self.connected {
+                self.dispatcher.record_caller_check(*job, self.now_ms);
+            }
             self.dispatcher.tick(self.now_ms);
         }
     }
@@ -108,6 +114,13 @@
         self.dispatcher.apply_start_outcome(&target_id(index), run, 0, outcome, None, self.now_ms);
     }
 
+    /// Returns the time of the harness until which the next listing request extends the lease of a
+    /// target.
+    pub fn lease_until_ms(&mut self, index: usize) -> Option<u64> {
+        let request = self.dispatcher.listing_request(&target_id(index), self.now_ms);
+        request.expect("the target is known").lease_until_clock_ms
+    }
+
     pub fn take_actions(&mut self) -> Vec<Action> {
         self.dispatcher.take_actions()
     }
@@ -233,6 +246,7 @@
         holder_token: None,
         waited_ms: 0,
         deadline_ms: DEADLINE_MS,
+        caller_check_age_ms: 0,
     }
 }
 
--- a/crates/placement/tests/offload.rs
+++ b/crates/placement/tests/offload.rs
@@ -7,6 +7,16 @@
 use harness::*;
 
 cases! {
+    part_carries_the_age_of_the_last_check_of_the_caller(harness: [16]) {
+        harness.report_capacity("zone-b", 8);
+        harness.submit(Submission { caller_check_age_ms: 40, ..job(JOB, vec![step(4)]) });
+        let ages_ms = harness.take_actions().into_iter().filter_map(|action| match action {
+            Action::OffloadPart { submission, .. } => Some(submission.caller_check_age_ms),
+            _ => None,
+        });
+        assert_eq!(ages_ms.collect::<Vec<_>>(), [40]);
+    }
+
     zone_without_targets_offloads_to_another_zone(harness: []) {
         harness.dispatcher.upsert_remote_target(remote_target("b", 32));
         harness.report_capacity("b", 4);
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -28,6 +28,7 @@
         holder_token: None,
         waited_ms: 0,
         deadline_ms: DEADLINE_MS,
+        caller_check_age_ms: 0,
     })
 }
 
@@ -45,7 +46,7 @@
 
 /// Returns the `earlier_runs` that the owner with `token` receives.
 fn earlier_runs_for(routed_job: &mut RoutedJob, token: u64) -> EarlierRuns {
-    routed_job.submission_after(5).clone().received_by(token).earlier_runs
+    routed_job.submission_after(5, 0).clone().received_by(token).earlier_runs
 }
 
 cases! {
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -2,13 +2,15 @@
 
 use ggb_model::Zone;
 use ggb_placement::{
-    Action, JobAnswer, Listing, MAX_LEASE_MS, PART_EXPIRY_MS, PartOutcome, Run, StartOutcome,
+    Action, CALLER_EXPIRY_MS, JobAnswer, Listing, ListingRequest, PartOutcome, Run, StartOutcome,
     Submission,
 };
 use ggb_standin::SimulatedWork;
 use rand::Rng as _;
 
-use super::{INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Simulation, Waiter, zone_name};
+use super::{
+    INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Offloaded, Simulation, Waiter, zone_name,
+};
 
 /// Maximum time for which a target delays a listing.
 const LISTING_WAIT_MS: u64 = 300;
@@ -37,7 +39,15 @@
 }
 
 impl Simulation {
-    fn draw_delivery(&mut self) -> Delivery {
+    fn draw_delivery(&mut self, owner_index: usize, target_index: usize) -> Delivery {
+        let is_cut_off = self.cut_off_targets.is_some_and(|(zone, first_owner)| {
+            self.targets[target_index].zone == zone
+                && target_index.is_multiple_of(2)
+                && owner_index >= first_owner
+        });
+        if is_cut_off {
+            return Delivery::Lost;
+        }
         let Faults { lost, late, unanswered } = self.faults;
         let drawn = self.rng.random_range(0..1_000);
         match drawn {
@@ -102,7 +112,7 @@
         token_offset: u64,
         valid_until_clock_ms: u64,
     ) {
-        let delivery = self.draw_delivery();
+        let delivery = self.draw_delivery(owner_index, target_index);
         let token = self.owners[owner_index].token + token_offset;
         let start = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
@@ -147,7 +157,7 @@
     }
 
     fn send_stop(&mut self, owner_index: usize, target_index: usize, run: Run, token_offset: u64) {
-        let delay_ms = match self.draw_delivery() {
+        let delay_ms = match self.draw_delivery(owner_index, target_index) {
             Delivery::Lost => return,
             Delivery::Late(delay_ms) => delay_ms,
             Delivery::Delivered | Delivery::Unanswered => INTRA_ZONE_LATENCY_MS,
@@ -175,23 +185,21 @@
     ) {
         let now_ms = self.now_ms;
         let target_id = self.targets[target_index].info.id.clone();
-        let Some(target) = self.owners[owner_index].dispatcher.target_mut(&target_id) else {
+        let dispatcher = &mut self.owners[owner_index].dispatcher;
+        let Some(request) = dispatcher.listing_request(&target_id, now_ms) else {
             return;
         };
-        let is_current = target.has_current_listing() && !target.is_unreachable();
-        let clock_ms = target.estimated_clock_ms(now_ms).filter(|_| target.can_renew_lease());
-        if clock_ms.is_some() {
-            target.record_lease_renewal(now_ms);
-        }
-        let ack_cursor = target.ack_cursor();
-        let wait_ms = if is_current { wait_ms } else { 0 };
-        let lease = clock_ms.map(|clock_ms| clock_ms + MAX_LEASE_MS);
-        let token_offset = target.token_offset();
+        let ListingRequest { token_offset, ack_cursor, lease_until_clock_ms, may_wait, .. } =
+            request;
+        let wait_ms = if may_wait { wait_ms } else { 0 };
         let token = self.owners[owner_index].token + token_offset;
-        let delivery = self.draw_delivery();
+        let delivery = self.draw_delivery(owner_index, target_index);
         let deliver_request = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
-            sim.targets[target_index].simulated.hold(token, ack_cursor, lease, now_ms).is_some()
+            sim.targets[target_index]
+                .simulated
+                .hold(token, ack_cursor, lease_until_clock_ms, now_ms)
+                .is_some()
         };
         match delivery {
             Delivery::Delivered => {
@@ -321,40 +329,41 @@
             });
             return;
         };
-        self.owners[owner_index].offloaded.push((part, remote_owner, None));
+        let job = submission.job.id;
+        let offloaded = Offloaded { part, job, owner: remote_owner, request: None };
+        self.owners[owner_index].offloaded.push(offloaded);
+        let sent_at_ms = self.now_ms;
         self.schedule_on_owner(remote_owner, INTER_ZONE_LATENCY_MS, move |sim| {
             // A part that was cancelled in the meantime is not submitted, since its connection is
             // closed.
-            let outstanding = sim.owners[owner_index]
-                .offloaded
-                .iter()
-                .any(|(offloaded, _, _)| *offloaded == part);
-            if !outstanding || !sim.owners[owner_index].is_alive {
+            if !sim.is_outstanding(owner_index, part) || !sim.owners[owner_index].is_alive {
                 return;
             }
+            let mut submission = submission;
+            submission.caller_check_age_ms += sim.now_ms - sent_at_ms;
             let request = sim.submit_to(
                 remote_owner,
                 submission,
                 Waiter::Offloader { owner: owner_index, part },
             );
-            let offloaded = sim.owners[owner_index]
-                .offloaded
-                .iter_mut()
-                .find(|(offloaded, _, _)| *offloaded == part);
-            if let Some((_, _, submitted)) = offloaded {
-                *submitted = Some(request);
+            let mut offloaded = sim.owners[owner_index].offloaded.iter_mut();
+            if let Some(offloaded) = offloaded.find(|offloaded| offloaded.part == part) {
+                offloaded.request = Some(request);
             }
         });
         self.monitor_part(owner_index, part, remote_owner);
     }
 
+    fn is_outstanding(&self, owner_index: usize, part: u64) -> bool {
+        self.owners[owner_index].offloaded.iter().any(|offloaded| offloaded.part == part)
+    }
+
     /// Checks every 400 ms whether the owner that a part was submitted to is reachable. If it is
     /// not, the part is lost, which that owner detects 200 ms later. Both detect it within the time
     /// for which a request for the answer stays open.
     fn monitor_part(&mut self, owner_index: usize, part: u64, remote_owner: usize) {
         self.schedule_on_owner(owner_index, 400, move |sim| {
-            if !sim.owners[owner_index].offloaded.iter().any(|(offloaded, _, _)| *offloaded == part)
-            {
+            if !sim.is_outstanding(owner_index, part) {
                 return;
             }
             let is_unreachable = !sim.owners[remote_owner].is_alive
@@ -370,14 +379,14 @@
     /// Cancels a part; the remote owner detects this after `delay_ms`.
     fn lose_part(&mut self, owner_index: usize, part: u64, delay_ms: u64) {
         let offloaded = &mut self.owners[owner_index].offloaded;
-        let Some(index) = offloaded.iter().position(|(offloaded, _, _)| *offloaded == part) else {
+        let Some(index) = offloaded.iter().position(|offloaded| offloaded.part == part) else {
             return;
         };
-        let (_, remote_owner, request) = offloaded.remove(index);
-        if let Some(request) = request {
-            self.remove_request(remote_owner, request, delay_ms);
+        let offloaded = offloaded.remove(index);
+        if let Some(request) = offloaded.request {
+            self.remove_request(offloaded.owner, request, delay_ms);
         }
-        self.schedule_on_owner(owner_index, PART_EXPIRY_MS, move |sim| {
+        self.schedule_on_owner(owner_index, CALLER_EXPIRY_MS, move |sim| {
             sim.apply_part_outcome(owner_index, part, PartOutcome::Lost);
         });
     }
@@ -394,10 +403,10 @@
             JobAnswer::GivenUp
             | JobAnswer::Moved { .. }
             | JobAnswer::NotTaken
-            | JobAnswer::Unknown => (PartOutcome::Lost, INTER_ZONE_LATENCY_MS + PART_EXPIRY_MS),
+            | JobAnswer::Unknown => (PartOutcome::Lost, INTER_ZONE_LATENCY_MS + CALLER_EXPIRY_MS),
         };
         self.schedule_on_owner(owner_index, delay_ms, move |sim| {
-            sim.owners[owner_index].offloaded.retain(|(offloaded, _, _)| *offloaded != part);
+            sim.owners[owner_index].offloaded.retain(|offloaded| offloaded.part != part);
             sim.apply_part_outcome(owner_index, part, outcome);
         });
     }
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -5,11 +5,11 @@
 mod schedule;
 pub mod shapes;
 
-use std::{cmp::Reverse, collections::BinaryHeap, ops::Range, sync::Arc};
+use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
 use ggb_model::Zone;
 use ggb_placement::{
-    BatchJob, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, PART_EXPIRY_MS, QueueRules,
+    BatchJob, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, QueueRules,
     RequestId, RoutedJob, RunTimes, StepSpec, Submission, TargetInfo,
 };
 use ggb_standin::{SimulatedTarget, SimulatedWork};
@@ -35,8 +35,9 @@
 /// Time from the loss of an owner to the takeover by another.
 const TAKEOVER_DELAY_MS: u64 = 500;
 
-/// Time after which an owner replies to an entry process that a job has no answer yet.
-const MAX_REPLY_DELAY_MS: u64 = 400;
+/// Time after which an owner replies to an entry process that a job has no answer yet. The entry
+/// process then checks that its caller is connected and sends the job again.
+const MAX_REPLY_DELAY_MS: u64 = 250;
 
 /// Time after which a caller resubmits a job without an answer.
 const RESEND_DELAY_MS: u64 = 1_300;
@@ -54,9 +55,8 @@
     token: u64,
     dispatcher: Dispatcher,
     waiters: Vec<(RequestId, Waiter)>,
-    /// Parts submitted to other owners: number of the part, index of the owner and, once submitted,
-    /// the request there.
-    offloaded: Vec<(u64, usize, Option<RequestId>)>,
+    /// Parts submitted to other owners.
+    offloaded: Vec<Offloaded>,
     next_request: u64,
     is_alive: bool,
     frozen_until_ms: u64,
@@ -64,6 +64,15 @@
     lag_ms: u64,
 }
 
+/// A part of a job that an owner submitted to another one.
+struct Offloaded {
+    part: u64,
+    job: JobId,
+    owner: usize,
+    /// The request at that owner, once submitted.
+    request: Option<RequestId>,
+}
+
 /// A simulated target and its zone.
 struct ZoneTarget {
     zone: usize,
@@ -111,17 +120,19 @@
     current_owners: Vec<Option<usize>>,
     targets: Vec<ZoneTarget>,
     partitioned_zone: Option<usize>,
+    /// Zone of which every other target is unreachable for owners from an index on, and that index.
+    cut_off_targets: Option<(usize, usize)>,
 }
 
 /// Returns the seeds to run: all, or only the one in `GGB_SEED`, which is then logged.
-pub fn seeds(all: Range<u64>) -> Range<u64> {
+pub fn seeds(all: impl IntoIterator<Item = u64>) -> Vec<u64> {
     match std::env::var("GGB_SEED").ok().and_then(|text| text.parse().ok()) {
         Some(seed) => {
             let logs = tracing_subscriber::fmt().without_time().with_target(false);
             logs.with_max_level(tracing_subscriber::filter::LevelFilter::DEBUG).try_init().ok();
-            seed..seed + 1
+            vec![seed]
         }
-        None => all,
+        None => all.into_iter().collect(),
     }
 }
 
@@ -144,6 +155,7 @@
             current_owners: vec![None; zones],
             targets: Vec::new(),
             partitioned_zone: None,
+            cut_off_targets: None,
         };
         for zone in 0..zones {
             for number in 0..targets {
@@ -167,6 +179,7 @@
             sim.take_over(zone);
         }
         sim.broadcast_free_tasks();
+        sim.report_caller_checks();
         sim
     }
 
@@ -292,6 +305,43 @@
         self.schedule_after(25, Simulation::broadcast_free_tasks);
     }
 
+    /// Reports to every owner that the callers of its jobs are connected, and to the owners of parts
+    /// when the callers were last found connected, as far as the senders are alive and reach them.
+    fn report_caller_checks(&mut self) {
+        let now_ms = self.now_ms;
+        let mut checks: Vec<(usize, JobId, u64, u64)> = Vec::new();
+        for (owner_index, owner) in self.owners.iter().enumerate() {
+            for (_, waiter) in &owner.waiters {
+                match *waiter {
+                    Waiter::Caller(caller_index) => {
+                        let job = self.callers[caller_index].submission.job.id;
+                        checks.push((owner_index, job, now_ms, INTRA_ZONE_LATENCY_MS));
+                    }
+                    Waiter::Offloader { owner: sender_index, part } => {
+                        let sender = &self.owners[sender_index];
+                        let is_running = sender.is_alive && sender.frozen_until_ms <= now_ms;
+                        let reaches = !self.are_partitioned(sender.zone, owner.zone);
+                        let job = sender.offloaded.iter().find(|offloaded| offloaded.part == part);
+                        let job = job.map(|offloaded| offloaded.job);
+                        let checked_at_ms =
+                            job.and_then(|job| sender.dispatcher.caller_checked_at_ms(job));
+                        if let (true, true, Some(job), Some(checked_at_ms)) =
+                            (is_running, reaches, job, checked_at_ms)
+                        {
+                            checks.push((owner_index, job, checked_at_ms, INTER_ZONE_LATENCY_MS));
+                        }
+                    }
+                }
+            }
+        }
+        for (owner_index, job, checked_at_ms, latency_ms) in checks {
+            self.schedule_on_owner(owner_index, latency_ms, move |sim| {
+                sim.owners[owner_index].dispatcher.record_caller_check(job, checked_at_ms);
+            });
+        }
+        self.schedule_after(MAX_REPLY_DELAY_MS, Simulation::report_caller_checks);
+    }
+
     fn are_partitioned(&self, one: usize, other: usize) -> bool {
         one != other
             && self
@@ -305,12 +355,24 @@
         self.schedule_after(duration_ms, |sim| sim.partitioned_zone = None);
     }
 
+    /// Cuts every other target of a zone off from the owners that take over from now on, for
+    /// `duration_ms`.
+    pub fn cut_targets_off_from_next_owners(&mut self, zone: usize, duration_ms: u64) {
+        self.cut_off_targets = Some((zone, self.owners.len()));
+        self.schedule_after(duration_ms, |sim| sim.cut_off_targets = None);
+    }
+
     /// Kills the owner of a zone. Its callers submit their jobs to the next owner.
     pub fn kill_owner(&mut self, zone: usize) {
+        self.kill_owner_for(zone, TAKEOVER_DELAY_MS);
+    }
+
+    /// Kills the owner of a zone, which has no other until `takeover_delay_ms` have passed.
+    pub fn kill_owner_for(&mut self, zone: usize, takeover_delay_ms: u64) {
         let Some(owner_index) = self.current_owners[zone].take() else { return };
         self.owners[owner_index].is_alive = false;
         self.drop_connections(owner_index);
-        self.schedule_after(TAKEOVER_DELAY_MS, move |sim| sim.take_over(zone));
+        self.schedule_after(takeover_delay_ms, move |sim| sim.take_over(zone));
     }
 
     /// Freezes the owner of a zone for `duration_ms`; another one takes over meanwhile.
@@ -338,6 +400,13 @@
         });
     }
 
+    /// Delays everything that the owner of a zone does by `lag_ms`.
+    pub fn lag_owner(&mut self, zone: usize, lag_ms: u64) {
+        if let Some(owner_index) = self.current_owners[zone] {
+            self.owners[owner_index].lag_ms = lag_ms;
+        }
+    }
+
     /// Makes the owner of a zone release its targets to a new owner.
     pub fn release_owner(&mut self, zone: usize) {
         let Some(owner_index) = self.current_owners[zone].take() else { return };
@@ -382,7 +451,7 @@
                 Waiter::Offloader { owner, part } => {
                     self.schedule_on_owner(
                         owner,
-                        INTER_ZONE_LATENCY_MS + PART_EXPIRY_MS,
+                        INTER_ZONE_LATENCY_MS + CALLER_EXPIRY_MS,
                         move |sim| {
                             sim.apply_part_outcome(owner, part, ggb_placement::PartOutcome::Lost);
                         },
@@ -390,9 +459,9 @@
                 }
             }
         }
-        for (_, remote_owner, request) in std::mem::take(&mut self.owners[owner_index].offloaded) {
-            if let Some(request) = request {
-                self.remove_request(remote_owner, request, INTER_ZONE_LATENCY_MS);
+        for offloaded in std::mem::take(&mut self.owners[owner_index].offloaded) {
+            if let Some(request) = offloaded.request {
+                self.remove_request(offloaded.owner, request, INTER_ZONE_LATENCY_MS);
             }
         }
     }
@@ -439,6 +508,7 @@
             holder_token: None,
             waited_ms: 0,
             deadline_ms: DEADLINE_MS,
+            caller_check_age_ms: INTRA_ZONE_LATENCY_MS,
         };
         self.callers.push(Caller {
             submission,
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -32,7 +32,7 @@
         harness.apply_listing(0, &[], &[]);
         let moved = Submission { earlier_runs: EarlierRuns::AnyZone, ..job(JOB, vec![step(2)]) };
         harness.submit(Submission { deadline_ms: 9_000, ..moved });
-        harness.advance(PART_EXPIRY_MS - 30);
+        harness.advance(CALLER_EXPIRY_MS - 30);
         assert_eq!(harness.take_starts(), []);
         harness.advance(60);
         assert_eq!(harness.take_starts().len(), 2);
@@ -46,7 +46,7 @@
         harness.submit(Submission { deadline_ms: 9_000, ..still_held });
         // The former holder may take 400 ms to detect that it lost contact with the process that
         // sent it the job, and closes the job 150 ms later.
-        harness.advance(550 + PART_EXPIRY_MS - 30);
+        harness.advance(550 + CALLER_EXPIRY_MS - 30);
         assert_eq!(harness.take_starts(), []);
         harness.advance(60);
         assert_eq!(harness.take_starts().len(), 2);
@@ -254,6 +254,72 @@
         assert_eq!(run_targets.collect::<Vec<_>>(), expected.map(Some));
     }
 
+    // The caller may return to a process that knows nothing of the run.
+    lease_ends_before_the_caller_of_a_run_returns(harness: [16]) {
+        harness.submit(job(JOB, vec![step(1)]));
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Accepted);
+        harness.connected.clear();
+        let checked_at_ms = harness.now_ms;
+        while harness.now_ms < checked_at_ms + 550 {
+            harness.advance(50);
+            let until_ms = harness.lease_until_ms(0).expect("the lease is renewed");
+            let slow_clock_ms = (until_ms - harness.now_ms) * 51 / 50;
+            assert!(harness.now_ms + slow_clock_ms <= checked_at_ms + CALLER_EXPIRY_MS);
+        }
+    }
+
+    lease_is_not_renewed_once_the_caller_of_a_run_may_return(harness: [16]) {
+        harness.submit(Submission { deadline_ms: 20_000, ..job(JOB, vec![long_step()]) });
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Accepted);
+        harness.connected.clear();
+        harness.advance(CALLER_EXPIRY_MS);
+        assert_eq!(harness.lease_until_ms(0), None);
+    }
+
+    // A part has its age from the owner that offloaded it.
+    lease_of_a_part_ends_before_the_caller_returns(harness: [16]) {
+        let part = Submission { part: Some(7), caller_check_age_ms: 500, ..job(JOB, vec![step(1)]) };
+        harness.submit(Submission { caller_check_age_ms: 200, ..part.clone() });
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Accepted);
+        let renewed_ms = harness.now_ms + 300;
+        harness.connected.clear();
+        harness.advance(300);
+        harness.submit(part);
+        let until_ms = harness.lease_until_ms(0).expect("the lease is renewed");
+        assert!(until_ms < renewed_ms + CALLER_EXPIRY_MS - 500);
+    }
+
+    task_starts_only_after_a_recent_check_of_its_caller(harness: [16]) {
+        harness.submit(Submission { caller_check_age_ms: 400, ..job(JOB, vec![step(1)]) });
+        harness.connected.clear();
+        harness.advance(100);
+        assert_eq!(harness.take_starts(), []);
+        harness.submit(job(JOB, vec![step(1)]));
+        assert_eq!(harness.take_starts().len(), 1);
+    }
+
+    lease_of_a_stopping_run_without_job_is_not_renewed(harness: [16]) {
+        harness.apply_listing(0, &[(run(0, 1), 30)], &[]);
+        harness.advance(205);
+        assert_eq!(harness.take_stops(), [run(0, 1)]);
+        assert_eq!(harness.lease_until_ms(0), None);
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        assert!(harness.lease_until_ms(0).is_some());
+    }
+
+    // The former owner renewed the lease last, up to 300 ms before it was lost.
+    lease_is_renewed_as_soon_as_the_last_orphaned_run_is_adopted(harness: [32]) {
+        harness.apply_listing(0, &[(run(0, 1), 30), (run(1, 1), 30)], &[]);
+        harness.take_actions();
+        harness.submit(job(JOB, vec![step(2)]));
+        let actions = harness.take_actions();
+        let listing_requests = actions.iter().filter(|action| {
+            matches!(action, Action::RequestListing { target } if **target == *"t-0")
+        });
+        assert_eq!(listing_requests.count(), 1);
+        assert!(harness.lease_until_ms(0).is_some());
+    }
+
     target_that_restarted_as_another_kind_gets_no_task_for_its_former_labels(harness: [32]) {
         let labelled = |started_unix_ms, label: &str| TargetInfo {
             started_unix_ms,
