Take no jobs in a dispatcher that has released its targets

Found by reading. `Owner::submit` checks that the owner is not stopped before it locks the dispatcher; `Owner::stop` may run in between on another thread. The job then lay in a dispatcher that had stepped down, which started its tasks under the old token and never answered. With one executor thread, as deployed, it can't happen; on machines with several threads it can.

The dispatcher itself answers `NotTaken` once it has stepped down. Test: `job_submitted_after_the_release_is_not_taken`, which fails without the change (the job's task is started).

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -72,6 +72,8 @@
     /// Target id and time of the last extra listing request, sorted by id.
     listing_requests: Vec<(Arc<str>, u64)>,
     superseded: bool,
+    /// Whether the targets were released.
+    released: bool,
     /// Moving average of the CPU demand of a task.
     average_cpu_milli: u64,
     /// Capacity reported by other zones, sorted by zone.
@@ -113,6 +115,7 @@
             actions: Vec::new(),
             listing_requests: Vec::new(),
             superseded: false,
+            released: false,
             average_cpu_milli: 0,
             remote_zones: Vec::new(),
             offloaded_parts: Vec::new(),
@@ -241,8 +244,10 @@
         self.job(id).map(JobState::caller_checked_at_ms)
     }
 
-    /// Releases all targets and answers every caller that the next dispatcher continues its job.
+    /// Releases all targets and answers every caller that the next dispatcher continues its job. The
+    /// dispatcher takes no jobs from then on.
     pub fn step_down(&mut self) {
+        self.released = true;
         let mut runs: Vec<(JobId, &Arc<str>)> = Vec::new();
         for target in &self.targets {
             let target_id = &target.info().id;
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -45,6 +45,10 @@
     /// first one.
     pub fn submit(&mut self, mut submission: Submission, request: RequestId, now_ms: u64) {
         self.advance_time(now_ms);
+        if self.released {
+            self.actions.push(Action::Answer { request, answer: JobAnswer::NotTaken });
+            return;
+        }
         let id = submission.job.id;
         self.update_average_demand(&submission);
         if let Ok(index) = self.cached_answers.binary_search_by_key(&id, |cached| cached.job)
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -241,6 +241,17 @@
         assert_eq!(harness.take_answers(), []);
     }
 
+    // Another thread may submit a job while the owner steps down; the next owner starts it.
+    job_submitted_after_the_release_is_not_taken(harness: [16]) {
+        harness.dispatcher.step_down();
+        harness.submit(job(JOB, vec![step(1)]));
+        let actions = harness.take_actions();
+        assert!(
+            matches!(&actions[..], [Action::Answer { answer: JobAnswer::NotTaken, .. }]),
+            "{actions:?}"
+        );
+    }
+
     released_job_names_the_targets_of_its_runs(harness: [16, 16]) {
         harness.submit(moved_job(&["t-9"]));
         harness.submit(job("00000000000000bb", vec![step(1)]));
