--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -196,8 +196,7 @@
     ///
     /// Queued jobs are not considered, since capacity that is free now does not fit their tasks.
     fn has_capacity_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
-        let queue = &job.submission().queue;
-        let usable = targets.iter().filter(|target| may_start_on(target, queue, now_ms));
+        let usable = targets.iter().filter(|target| may_start_on(target, job, now_ms));
         let mut free: Vec<(&Target, Capacity)> =
             usable.map(|target| (*target, target.free())).collect();
         let mut unplaced = 0;
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -8,8 +8,8 @@
 use ggb_telemetry::log_job_event;
 
 use crate::{
-    Action, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS,
-    QueueRules, Run, StepSpec, Target, TaskId,
+    Action, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS, Run,
+    StepSpec, Target, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -137,10 +137,8 @@
         now_ms: u64,
     ) -> Option<usize> {
         let step = job.step(task);
-        let queue = &job.submission().queue;
         let fits = |target: &Target| {
-            may_start_on(target, queue, now_ms)
-                && target.expires_before_return(job.caller_checked_at_ms(), now_ms)
+            may_start_on(target, job, now_ms)
                 && self.may_share_target(task, target)
                 && target.free().fits(&step.demand)
                 && target.has_label(step.required_label.as_deref())
@@ -183,13 +181,15 @@
     }
 }
 
-/// Returns whether tasks of a queue may start on a target now, as far as its free capacity allows.
+/// Returns whether tasks of a job may start on a target now, as far as its free capacity allows.
 ///
 /// A target that does not enforce its capacity relies on its owner to know what runs on it.
-pub(super) fn may_start_on(target: &Target, queue: &QueueRules, now_ms: u64) -> bool {
+pub(super) fn may_start_on(target: &Target, job: &JobState, now_ms: u64) -> bool {
+    let queue = &job.submission().queue;
     target.info().service == queue.service
         && target.is_usable(now_ms)
         && (queue.targets_enforce_capacity || target.is_free_capacity_known())
+        && target.lease_ends_before_return(job.caller_checked_at_ms(), now_ms)
 }
 
 fn is_below_per_target_limit(target: &Target, step: &StepSpec, task: TaskId) -> bool {
--- a/crates/placement/src/dispatcher/renewal.rs
+++ b/crates/placement/src/dispatcher/renewal.rs
@@ -7,9 +7,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{
-    CALLER_EXPIRY_MS, Dispatcher, Target, dispatcher::job_state::JobState, target::lease_until_ms,
-};
+use crate::{CALLER_EXPIRY_MS, Dispatcher, Target, target::lease_until_ms};
 
 /// Contents of a request for a listing of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,14 +44,17 @@
         })
     }
 
-    /// Returns the lease to ask of a target, or `None` if its runs must not be kept.
+    /// Returns the lease to ask of a target, or `None` if its runs must not be kept, since one of them
+    /// has no known job or its caller may be about to return.
     fn lease_ms(&self, target: &Target, now_ms: u64) -> Option<u64> {
         if !target.can_renew_lease() {
             return None;
         }
-        let checked_at_ms = |job| self.job(job).map_or(0, JobState::caller_checked_at_ms);
-        let runs = target.runs().iter().map(|target_run| target_run.run.task.job);
-        let first_checked_at_ms = runs.map(checked_at_ms).min().unwrap_or(now_ms);
+        let mut first_checked_at_ms = now_ms;
+        for target_run in target.runs() {
+            let job = self.job(target_run.run.task.job)?;
+            first_checked_at_ms = first_checked_at_ms.min(job.caller_checked_at_ms());
+        }
         lease_until_ms(first_checked_at_ms + CALLER_EXPIRY_MS, now_ms)
     }
 }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -291,7 +291,7 @@
 
     /// Returns whether the lease expires before a caller who was last found connected at
     /// `checked_at_ms` can send its job again, so that a task of the job may start on the target.
-    pub const fn expires_before_return(&self, checked_at_ms: u64, now_ms: u64) -> bool {
+    pub const fn lease_ends_before_return(&self, checked_at_ms: u64, now_ms: u64) -> bool {
         let start_expired_at_ms = now_ms + lease_expiry_ms(START_REQUEST_VALIDITY_MS);
         let return_ms = checked_at_ms + CALLER_EXPIRY_MS;
         self.lease_expired_at_ms <= return_ms && start_expired_at_ms <= return_ms
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -308,6 +308,15 @@
         assert_eq!(harness.take_starts().len(), 1);
     }
 
+    // A part that can't start at once has to be refused, since its sender may start it elsewhere.
+    part_is_refused_where_no_lease_ends_before_its_caller_returns(harness: [16]) {
+        assert!(harness.lease_until_ms(0).is_some());
+        let part = Submission { part: Some(7), caller_check_age_ms: 400, ..job(JOB, vec![step(1)]) };
+        harness.submit(part);
+        let refused = JobAnswer::Refused { reason: RefusalReason::Overloaded, retry_after_ms: 1_000 };
+        assert_eq!(harness.take_answers(), [refused]);
+    }
+
     lease_of_a_stopping_run_without_job_is_not_renewed(harness: [16]) {
         harness.apply_listing(0, &[(run(0, 1), 30)], &[]);
         harness.advance(205);
