--- a/crates/placement/src/dispatcher/renewal.rs
+++ b/crates/placement/src/dispatcher/renewal.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{CALLER_EXPIRY_MS, Dispatcher, Target, target::lease_until_ms};
+use crate::{CALLER_EXPIRY_MS, Dispatcher, Target, lease::lease_until_ms};
 
 /// Contents of a request for a listing of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher;
 mod estimate;
 mod job;
+mod lease;
 mod listing;
 mod routed_job;
 mod target;
@@ -35,9 +36,10 @@
         BatchJob, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
         RunEnd, StepSpec, Submission, TaskId,
     },
+    lease::{CALLER_EXPIRY_MS, LEASE_EXPIRY_MS, MAX_LEASE_MS},
     listing::{ListedEnd, ListedRun, Listing},
     routed_job::RoutedJob,
-    target::{CALLER_EXPIRY_MS, LEASE_EXPIRY_MS, MAX_LEASE_MS, START_REQUEST_VALIDITY_MS, Target},
+    target::{START_REQUEST_VALIDITY_MS, Target},
     target_info::TargetInfo,
     target_loss::{LossCause, LossCount, StartRule, TargetLoss, TargetLosses},
     target_run::{EndedRun, RunPhase, TargetRun},
--- /dev/null
+++ b/crates/placement/tests/simulation/disruptions.rs
@@ -0,0 +1,90 @@
+//! Disruptions of owners, zones and targets that tests cause.
+
+use super::{Simulation, TAKEOVER_DELAY_MS};
+
+impl Simulation {
+    /// Partitions a zone from the others for `duration_ms`.
+    pub fn partition_zone(&mut self, zone: usize, duration_ms: u64) {
+        self.partitioned_zone = Some(zone);
+        self.schedule_after(duration_ms, |sim| sim.partitioned_zone = None);
+    }
+
+    /// Cuts every other target of a zone off from the owners that take over from now on, for
+    /// `duration_ms`.
+    pub fn cut_targets_off_from_next_owners(&mut self, zone: usize, duration_ms: u64) {
+        self.cut_off_targets = Some((zone, self.owners.len()));
+        self.schedule_after(duration_ms, |sim| sim.cut_off_targets = None);
+    }
+
+    /// Kills the owner of a zone. Its callers submit their jobs to the next owner.
+    pub fn kill_owner(&mut self, zone: usize) {
+        self.kill_owner_for(zone, TAKEOVER_DELAY_MS);
+    }
+
+    /// Kills the owner of a zone, which has no other until `takeover_delay_ms` have passed.
+    pub fn kill_owner_for(&mut self, zone: usize, takeover_delay_ms: u64) {
+        let Some(owner_index) = self.current_owners[zone].take() else { return };
+        self.owners[owner_index].is_alive = false;
+        self.drop_connections(owner_index);
+        self.schedule_after(takeover_delay_ms, move |sim| sim.take_over(zone));
+    }
+
+    /// Freezes the owner of a zone for `duration_ms`; another one takes over meanwhile.
+    pub fn freeze_owner(&mut self, zone: usize, duration_ms: u64) {
+        let Some(owner_index) = self.current_owners[zone].take() else { return };
+        self.owners[owner_index].frozen_until_ms = self.now_ms + duration_ms;
+        self.drop_connections(owner_index);
+        self.schedule_after(TAKEOVER_DELAY_MS, move |sim| sim.take_over(zone));
+    }
+
+    /// Delays everything that the owner of a zone does by `lag_ms`. After `takeover_after_ms`
+    /// another one, which lags by `next_lag_ms` for 500 ms, takes over while the first is alive.
+    pub fn slow_down_owner(
+        &mut self,
+        zone: usize,
+        lag_ms: u64,
+        takeover_after_ms: u64,
+        next_lag_ms: u64,
+    ) {
+        let Some(owner_index) = self.current_owners[zone] else { return };
+        self.owners[owner_index].lag_ms = lag_ms;
+        self.schedule_after(takeover_after_ms, move |sim| {
+            let next_index = sim.take_over_with_lag(zone, next_lag_ms);
+            sim.schedule_after(500, move |sim| sim.owners[next_index].lag_ms = 0);
+        });
+    }
+
+    /// Delays everything that the owner of a zone does by `lag_ms`.
+    pub fn lag_owner(&mut self, zone: usize, lag_ms: u64) {
+        if let Some(owner_index) = self.current_owners[zone] {
+            self.owners[owner_index].lag_ms = lag_ms;
+        }
+    }
+
+    /// Makes the owner of a zone release its targets to a new owner.
+    pub fn release_owner(&mut self, zone: usize) {
+        let Some(owner_index) = self.current_owners[zone].take() else { return };
+        self.take_over(zone);
+        self.supersede_owner(owner_index);
+    }
+
+    /// Crashes and restarts a target.
+    pub fn crash_target(&mut self, target_index: usize) {
+        let now_ms = self.now_ms;
+        self.targets[target_index].simulated.crash(now_ms);
+    }
+
+    /// Sets the mode of a target for `duration_ms`. The mode determines how the target treats runs
+    /// that start meanwhile.
+    pub fn set_mode(
+        &mut self,
+        target_index: usize,
+        mode: ggb_standin::SimulatedTargetMode,
+        duration_ms: u64,
+    ) {
+        self.targets[target_index].simulated.mode = mode;
+        self.schedule_after(duration_ms, move |sim| {
+            sim.targets[target_index].simulated.mode = ggb_standin::SimulatedTargetMode::Healthy;
+        });
+    }
+}
