Log both tokens when a zone has two owners

Logs could not tell the hypotheses of docs/incidents/shared-token.md apart: 661 named neither the released token nor the process to which it yields, 662 said nothing of the own claim, and a rejected token was not logged with its value.

660 now has the token known before the claim and how many processes were known and heard; 661 the released token and the rival's name, token and age, or the target that rejected it; 665 (new) is logged once when another process claims the zone that this one owns, with both tokens and what the other knows of this one. ggb_fenced_claims_total counts rejected claims. No decision changes.

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -165,15 +165,22 @@
 }
 
 /// Change of this VM's ownership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnershipChange {
     /// This VM now owns the targets of its zone.
     Claimed {
         /// Token of the claim.
         token: u64,
+        /// Highest token that this VM knew of before; 0 if none.
+        known_token: u64,
     },
     /// This VM no longer owns the targets of its zone.
-    Released,
+    Released {
+        /// Token of the released claim.
+        token: u64,
+        /// The claim to which this VM yields.
+        rival: KnownClaim,
+    },
 }
 
 /// Decides when this VM claims or gives up the targets of its zone.
@@ -314,6 +321,11 @@
         }
     }
 
+    /// Returns the number of peers from which a recent heartbeat has arrived.
+    pub fn live_peer_count(&self, now_ms: u64) -> usize {
+        self.peers.iter().filter(|peer| peer.is_alive(now_ms)).count()
+    }
+
     /// Returns the peer whose claim to the targets of `zone` has the highest token, even if it is
     /// no longer alive. Of equal tokens, that of the VM whose name sorts first counts.
     pub fn owner_of(&self, zone: &Zone) -> Option<&PeerState> {
@@ -371,15 +383,22 @@
     pub fn tick(&mut self, unix_ms: u64, now_ms: u64) -> Option<OwnershipChange> {
         match self.claim_state {
             ClaimState::Owner { token } => {
-                let claimant = &self.owner_of(&self.local_node.zone)?.heartbeat;
+                let peer = self.owner_of(&self.local_node.zone)?;
+                let claimant = &peer.heartbeat;
                 // Targets don't tell apart owners with equal tokens, so that one has to yield.
                 let yields_tie = claimant.claim_token == Some(token)
                     && claimant.node.name < self.local_node.name;
-                if claimant.claim_token <= Some(token) && !yields_tie {
+                let rival_token = claimant.claim_token?;
+                if rival_token <= token && !yields_tie {
                     return None;
                 }
+                let rival = KnownClaim {
+                    owner: claimant.node.name.clone(),
+                    token: rival_token,
+                    age_ms: now_ms - peer.last_heartbeat_ms,
+                };
                 self.claim_state = ClaimState::Follower;
-                Some(OwnershipChange::Released)
+                Some(OwnershipChange::Released { token, rival })
             }
             ClaimState::Fenced { since_ms } => {
                 if now_ms < since_ms + FENCED_BACKOFF_MS {
@@ -394,10 +413,11 @@
             ClaimState::Follower if self.should_claim(now_ms) => {
                 let tie_break = u64::from(ip_low_bits(self.local_node.ip)) % TOKENS_PER_MS;
                 let time_token = unix_ms.saturating_mul(TOKENS_PER_MS) + tie_break;
-                let token = time_token.max(self.highest_token + TOKENS_PER_MS);
+                let known_token = self.highest_token;
+                let token = time_token.max(known_token + TOKENS_PER_MS);
                 self.highest_token = token;
                 self.claim_state = ClaimState::Owner { token };
-                Some(OwnershipChange::Claimed { token })
+                Some(OwnershipChange::Claimed { token, known_token })
             }
             ClaimState::Follower => None,
         }
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use ggb_membership::{Heartbeat, Node, Ownership, OwnershipChange};
+use ggb_membership::{Heartbeat, KnownClaim, Node, Ownership, OwnershipChange};
 
 /// Returns a VM of `zone`; `number` determines its name and address.
 fn node(zone: &str, number: u8, cpu_milli: u64) -> Node {
@@ -103,7 +103,8 @@
         ownership.record_heartbeat(heartbeat(&node("a", 3, 250), token), 200);
         assert_eq!(ownership.tick(200, 200), None);
         ownership.record_heartbeat(heartbeat(&node("a", 1, 250), token), 210);
-        assert_eq!(ownership.tick(210, 210), Some(OwnershipChange::Released));
+        let change = ownership.tick(210, 210);
+        assert!(matches!(change, Some(OwnershipChange::Released { .. })), "{change:?}");
     }
 
     live_owner_prevents_a_claim(ownership) {
@@ -130,7 +131,7 @@
         ownership.record_heartbeat(heartbeat(&node("a", 1, 250), Some(1 << 52)), 1_000);
         ownership.record_heartbeat(heartbeat(&node("b", 9, 250), None), 1_400);
         let change = ownership.tick(5, 1_450);
-        let Some(OwnershipChange::Claimed { token }) = change else { panic!("{change:?}") };
+        let Some(OwnershipChange::Claimed { token, .. }) = change else { panic!("{change:?}") };
         assert!(token > 1 << 52);
     }
 
@@ -152,8 +153,10 @@
     owner_releases_to_a_higher_claim(ownership) {
         ownership.record_heartbeat(heartbeat(&node("a", 3, 250), None), 100);
         assert!(first_claim_ms(&mut ownership, 130, 200).is_some());
+        let token = ownership.claim_token().expect("the VM has claimed its zone");
         ownership.record_heartbeat(heartbeat(&node("a", 3, 250), Some(u64::MAX / 2)), 300);
-        assert_eq!(ownership.tick(300, 300), Some(OwnershipChange::Released));
+        let rival = KnownClaim { owner: "a-3".to_owned(), token: u64::MAX / 2, age_ms: 0 };
+        assert_eq!(ownership.tick(300, 300), Some(OwnershipChange::Released { token, rival }));
         assert_eq!(ownership.claim_token(), None);
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -39,6 +39,8 @@
     /// Number of runs that ended without a listed end, since their target crashed or was
     /// unreachable until its lease expired.
     pub lost_runs: IntCounter,
+    /// Number of claims of this process that ended since a target obeys a higher token.
+    pub fenced_claims: IntCounter,
     /// Number of calls to the platform's store, by table (label `call`) and result: answered,
     /// failed.
     pub store_calls: IntCounterVec,
@@ -103,6 +105,10 @@
                 &["kind", "outcome"],
             ),
             lost_runs: counter("ggb_lost_runs_total", "Runs that ended with their target"),
+            fenced_claims: counter(
+                "ggb_fenced_claims_total",
+                "Claims that ended because a target obeys a higher token",
+            ),
             silent_connections: counter(
                 "ggb_silent_connections_total",
                 "Reads that only a new connection answered",
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -420,7 +420,7 @@
                 });
                 // A request to an earlier incarnation of the target has a lower token.
                 if current == Some(token_offset) {
-                    self.step_down();
+                    self.step_down(Some(target));
                 }
                 ("fenced", false)
             }
@@ -451,15 +451,26 @@
 
     fn step_down_if_superseded(self: &Arc<Self>) {
         if self.state.lock().dispatcher.is_superseded() {
-            self.step_down();
+            self.step_down(None);
         }
     }
 
-    fn step_down(self: &Arc<Self>) {
+    /// Stops this owner because a target obeys a higher token; `target` is the one that rejected a
+    /// request for a listing, or `None` for a start request.
+    fn step_down(self: &Arc<Self>, target: Option<&str>) {
         if self.stopped.load(Ordering::Relaxed) {
             return;
         }
-        log_event!(warn, OwnershipReleased, reason = "a target obeys a higher token");
+        let token = self.token;
+        self.shared.metrics.fenced_claims.inc();
+        log_event!(
+            warn,
+            OwnershipReleased,
+            reason = "a target obeys a higher token",
+            token,
+            target,
+            live_peers = self.shared.live_peer_count()
+        );
         self.shared.ownership.lock().record_fenced(self.shared.now_ms());
         self.shared.owner.store(None);
         self.stop();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -157,6 +157,7 @@
     let claim = heartbeat.claim_token;
     let leaving = heartbeat.leaving;
     let free_tasks = heartbeat.free_tasks;
+    let known_claims = heartbeat.known_claims.clone();
     shared.add_peer(ip);
     if claim.is_some() && zone != shared.settings.zone {
         let owner = shared.owner.load_full();
@@ -164,15 +165,27 @@
             owner.update_remote_capacity(&zone, if leaving { 0 } else { free_tasks });
         }
     }
-    let new_owner = {
+    let (new_owner, own_token) = {
         let mut ownership = shared.ownership.lock();
         let owner_before = ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone());
         ownership.record_heartbeat(heartbeat, shared.now_ms());
         let owner_after = ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone());
-        (owner_before != owner_after).then_some(owner_after).flatten()
+        let new_owner = (owner_before != owner_after).then_some(owner_after).flatten();
+        (new_owner, ownership.claim_token().filter(|_| zone == shared.settings.zone))
     };
-    if let Some(owner) = new_owner {
-        log_event!(info, OwnerChanged, zone = %zone, owner, token = claim);
+    match (new_owner, own_token) {
+        (Some(owner), Some(token)) => {
+            let own_name = &shared.settings.name;
+            let known_to_peer = known_claims.iter().find(|known| known.owner == *own_name);
+            log_event!(
+                warn, RivalOwner, zone = %zone, token, peer = owner, peer_token = claim,
+                token_known_to_peer = known_to_peer.map(|known| known.token)
+            );
+        }
+        (Some(owner), None) => {
+            log_event!(info, OwnerChanged, zone = %zone, owner, token = claim);
+        }
+        (None, _) => {}
     }
     let fetches_configuration = shared.configuration_gossip.lock().record_version(
         own_version,
@@ -223,13 +236,29 @@
     let change = shared.ownership.lock().tick(unix_time_ms(), shared.now_ms());
     match change {
         None => return false,
-        Some(OwnershipChange::Claimed { token }) => {
-            log_event!(info, OwnershipTaken, zone = %shared.settings.zone, token);
+        Some(OwnershipChange::Claimed { token, known_token }) => {
+            let (live_peers, known_peers) = (shared.live_peer_count(), shared.peers.lock().len());
+            log_event!(
+                info, OwnershipTaken, zone = %shared.settings.zone, token, known_token, live_peers,
+                known_peers
+            );
             let owner = Owner::spawn(Arc::clone(shared), token);
             shared.owner.store(Some(owner));
         }
-        Some(OwnershipChange::Released) => {
-            log_event!(info, OwnershipReleased, reason = "a peer has a higher claim");
+        Some(OwnershipChange::Released { token, rival }) => {
+            let reason = match rival.token == token {
+                true => "a peer has the same token and precedes this process",
+                false => "a peer has a higher claim",
+            };
+            log_event!(
+                info,
+                OwnershipReleased,
+                reason,
+                token,
+                peer = rival.owner,
+                peer_token = rival.token,
+                peer_age_ms = rival.age_ms
+            );
             if let Some(owner) = shared.owner.swap(None) {
                 owner.stop();
             }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -181,8 +181,9 @@
     }
 
     fn release_ownership(&self) {
+        let token = self.shared.ownership.lock().claim_token();
         if self.shared.ownership.lock().release() {
-            log_event!(info, OwnershipReleased, reason = "the process stops");
+            log_event!(info, OwnershipReleased, reason = "the process stops", token);
         }
         if let Some(owner) = self.shared.owner.swap(None) {
             owner.stop();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -122,6 +122,11 @@
         self.clock.now_ms()
     }
 
+    /// Returns the number of peers from which a recent heartbeat has arrived.
+    pub(crate) fn live_peer_count(&self) -> usize {
+        self.ownership.lock().live_peer_count(self.now_ms())
+    }
+
     /// Returns the version of the active configuration, or 0 if there is none.
     pub(crate) fn configuration_version(&self) -> u64 {
         self.configuration.load().as_ref().map_or(0, |current| current.version)
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -149,6 +149,8 @@
     ReadinessChanged = 663,
     /// The process was paused for so long that its targets may have another owner.
     ProcessPaused = 664,
+    /// Another process claims the targets that this one owns; the fields contain both tokens.
+    RivalOwner = 665,
     /// The platform's store can't be read; the known configuration and targets stay in use.
     StoreUnreachable = 680,
     /// The platform's store can be read again.
