Derive tokens that differ between any two VMs

Callers saw a task run twice at the same time (TWICE): two processes of a zone that restarted while the store was away claimed it under one token, and targets obeyed both.

Cause: a claim above a known token took that token plus 1,000 and left out the part that differs between VMs, so that two VMs that knew the same token claimed the same one; addresses that are equal modulo 1,000 did so without it, and the number of seen restarts, added to a token, could make it that of another VM. Class: a value that orders owners stood for their identity.

Tokens now consist of a second, the restarts of the target and the low 20 bits of the VM's address, which stay in place whatever is added. They exceed those of former builds.

Ruled out: a wait before a claim (does not exclude equal tokens), a random part (unlikely is not never).

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,8 +6,8 @@
 //! the process itself, which take precedence, and *leaving* is final for one incarnation of a VM.
 //! A view only directs new work; it does not decide whether work may start.
 //!
-//! [`Ownership`] elects the VM that controls the targets of an availability zone, and
-//! [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
+//! [`Ownership`] elects the VM that controls the targets of an availability zone. Its claim carries a
+//! fencing token that no other VM derives. [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
 //! without coordination.
 //!
 //! # Example
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -7,7 +7,7 @@
 
 use std::net::IpAddr;
 
-use ggb_model::Zone;
+use ggb_model::{Zone, advance_token, claim_token};
 use serde::{Deserialize, Serialize};
 
 use crate::PeerClock;
@@ -41,11 +41,9 @@
 /// network delay.
 const STARTUP_WAIT_MS: u64 = 130;
 
-/// Increment of the token after a target rejected it in favor of an unknown higher one.
-///
-/// Tokens derive from the Unix time of the VM that claims. The clocks of VMs may differ by seconds,
-/// so the increment corresponds to 10 seconds.
-const FENCED_TOKEN_INCREMENT: u64 = 10_000 * TOKENS_PER_MS;
+/// Time by which the token of the next claim is ahead of one that a target rejected in favor of an
+/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds.
+const FENCED_TOKEN_LEAD_MS: u64 = 10_000;
 
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
 const VM_LIST_WAIT_MS: u64 = 700;
@@ -63,10 +61,6 @@
 /// Minimum uptime of a VM that supersedes an owner with a smaller CPU share.
 const SUPERSEDE_OWNER_MIN_UPTIME_MS: u64 = 1_500;
 
-/// Number of tokens per millisecond of Unix time; the address of a VM selects one of them, so that
-/// VMs that claim in the same millisecond usually get different tokens.
-const TOKENS_PER_MS: u64 = 1_000;
-
 /// An entry VM as it describes itself to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -372,7 +366,7 @@
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
         if let ClaimState::Owner { token } = self.claim_state {
-            self.highest_token = self.highest_token.max(token) + FENCED_TOKEN_INCREMENT;
+            self.highest_token = advance_token(self.highest_token.max(token), FENCED_TOKEN_LEAD_MS);
             self.claim_state = ClaimState::Fenced { since_ms: now_ms };
         }
     }
@@ -411,10 +405,8 @@
                 None
             }
             ClaimState::Follower if self.should_claim(now_ms) => {
-                let tie_break = u64::from(ip_low_bits(self.local_node.ip)) % TOKENS_PER_MS;
-                let time_token = unix_ms.saturating_mul(TOKENS_PER_MS) + tie_break;
                 let known_token = self.highest_token;
-                let token = time_token.max(known_token + TOKENS_PER_MS);
+                let token = claim_token(unix_ms, known_token, self.local_node.ip);
                 self.highest_token = token;
                 self.claim_state = ClaimState::Owner { token };
                 Some(OwnershipChange::Claimed { token, known_token })
@@ -506,11 +498,3 @@
 const fn supersedes(candidate: &Node, owner: &Node) -> bool {
     candidate.cpu_milli >= owner.cpu_milli * SUPERSEDE_OWNER_CPU_PERCENT / 100
 }
-
-/// Returns the low 32 bits of an address.
-fn ip_low_bits(ip: IpAddr) -> u32 {
-    match ip {
-        IpAddr::V4(ip) => u32::from(ip),
-        IpAddr::V6(ip) => u128::from(ip) as u32,
-    }
-}
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 
 use ggb_membership::{Heartbeat, KnownClaim, Node, Ownership, OwnershipChange};
+use ggb_model::token_after_restarts;
 
 /// Returns a VM of `zone`; `number` determines its name and address.
 fn node(zone: &str, number: u8, cpu_milli: u64) -> Node {
@@ -29,6 +30,55 @@
     }
 }
 
+/// Returns the token of a VM at `ip` that knows `known_token` from a VM of another zone and then claims its
+/// zone at the Unix time `unix_ms`.
+fn token_claimed_at(ip: [u8; 4], known_token: Option<u64>, unix_ms: u64) -> u64 {
+    let vm = Node { ip: IpAddr::from(ip), ..node("a", 2, 250) };
+    let mut ownership = Ownership::new(vm, 1, 0);
+    ownership.set_vm_list([]);
+    ownership.record_heartbeat(heartbeat(&node("b", 9, 250), known_token), 130);
+    match ownership.tick(unix_ms, 130) {
+        Some(OwnershipChange::Claimed { token, .. }) => token,
+        change => panic!("the VM claims its zone after the startup wait: {change:?}"),
+    }
+}
+
+/// Guards against two owners of a zone that are both obeyed by its targets.
+#[test]
+fn vms_that_know_the_same_token_claim_different_tokens() {
+    let known_token = Some(1_784_377_963_718_782);
+    for unix_ms in [1_784_377_960_000, 1_784_377_968_000] {
+        let first = token_claimed_at([10, 2, 64, 20], known_token, unix_ms);
+        let second = token_claimed_at([10, 2, 64, 22], known_token, unix_ms);
+        assert_ne!(first, second);
+    }
+}
+
+/// Guards against addresses that select the same token among those of one moment.
+#[test]
+fn vms_whose_addresses_differ_by_a_thousand_claim_different_tokens() {
+    let unix_ms = 1_784_377_963_000;
+    let first = token_claimed_at([10, 2, 0, 1], None, unix_ms);
+    assert_ne!(first, token_claimed_at([10, 2, 3, 233], None, unix_ms));
+}
+
+/// Guards against an owner that has seen restarts of a target and takes the token of another owner.
+#[test]
+fn tokens_after_restarts_differ_from_those_of_other_vms() {
+    let unix_ms = 1_784_377_963_000;
+    let first = token_claimed_at([10, 2, 64, 20], None, unix_ms);
+    let second = token_claimed_at([10, 2, 64, 21], None, unix_ms);
+    for (restarts, other) in (0..20).flat_map(|first| (0..20).map(move |other| (first, other))) {
+        assert_ne!(token_after_restarts(first, restarts), token_after_restarts(second, other));
+    }
+}
+
+#[test]
+fn token_exceeds_those_of_former_builds() {
+    let unix_ms = 1_784_377_963_718;
+    assert!(token_claimed_at([10, 2, 64, 20], None, unix_ms) > unix_ms * 1_000 + 10_000_000);
+}
+
 #[test]
 fn vm_without_vm_list_delays_its_claim() {
     let mut ownership = Ownership::new(node("a", 2, 250), 1, 0);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 //!   process that may start its tasks.
 //! * [`Profile`] sets the priority, quotas and time limits of a class of jobs.
 //! * [`JobSpec`] is a job as a caller submits it, and [`Outcome`] is the result it receives.
+//! * [`claim_token`] derives the fencing token under which a VM controls the targets of its zone.
 //! * [`Peer`] and [`Step`] say with which process and in which step an error occurred.
 //!
 //! # Example
@@ -22,6 +23,7 @@
 //! ```
 
 mod error;
+mod fencing;
 mod id;
 mod job;
 mod outcome;
@@ -29,6 +31,7 @@
 
 pub use crate::{
     error::{Peer, Step, ValidationError},
+    fencing::{advance_token, claim_token, token_after_restarts},
     id::{AttemptId, HomeId, Incarnation, Sequence, SessionId, SubmissionId, TaskIndex, Zone},
     job::{JobSpec, MAX_TASKS_PER_JOB, Payload, TaskShape, TaskSpec},
     outcome::{
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -12,7 +12,7 @@
 use async_std::task;
 use futures::channel::oneshot;
 use ggb_adapter::{ListingReply, StartReply, TargetClient};
-use ggb_model::Zone;
+use ggb_model::{Zone, token_after_restarts};
 use ggb_placement::{
     Action, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load, PartOutcome,
     RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
@@ -333,7 +333,7 @@
     async fn send_start(self: Arc<Self>, request: StartRequest) {
         let StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset } = request;
         let reply = self.client.start(
-            self.token + token_offset,
+            token_after_restarts(self.token, token_offset),
             (&target, addr),
             run,
             &spec,
@@ -357,7 +357,7 @@
         run: Run,
         token_offset: u64,
     ) {
-        let token = self.token + token_offset;
+        let token = token_after_restarts(self.token, token_offset);
         let answered = self.client.stop(token, (&target, addr), run, REQUEST_TIMEOUT_MS).await;
         let outcome = if answered { "answered" } else { "unanswered" };
         self.shared.metrics.target_requests.with_label_values(&["stop", outcome]).inc();
@@ -399,7 +399,7 @@
         let wait_ms = if may_wait { wait_ms } else { 0 };
         let requested_at_ms = self.shared.now_ms();
         let reply = self.client.fetch_listing(
-            self.token + token_offset,
+            token_after_restarts(self.token, token_offset),
             (target, addr),
             ack_cursor,
             lease_until_clock_ms,
