Let owners that never hear each other take turns ever more rarely

Cause: a VM whose token a target rejected claims again after 250 ms, however often that has happened. Now the wait doubles from the fourth rejection in a row on, up to 16 s, while the VM with the higher token is unknown; a heartbeat of it ends the wait, and a claim that lasts eight times as long as the wait before it starts anew. The lead of the next token doubles as well, so that the token of a lost owner that is far ahead of all clocks is exceeded after a few rejections.

Ruled out: never claiming again after a rejection, since the unknown owner may be lost, which nobody would notice.

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -34,17 +34,35 @@
 const ISOLATED_BACKOFF_MS: u64 = 5_000;
 
 /// Time for which a VM waits, after a target rejected its token, for the heartbeat of the VM with
-/// the higher token.
+/// the higher token. Doubled for each rejection after the first [`EARLY_REJECTIONS`] while that VM stays
+/// unknown.
 const FENCED_BACKOFF_MS: u64 = 250;
 
+/// Number of rejections in a row that may be due to the token of an owner that no longer exists.
+const EARLY_REJECTIONS: u32 = 3;
+
+/// Maximum number of times that [`FENCED_BACKOFF_MS`] is doubled, to 16 s. An unknown owner may have
+/// been lost meanwhile, so that a zone must not be left alone for longer.
+const MAX_FENCED_BACKOFF_DOUBLINGS: u32 = 6;
+
+/// Minimum duration of a claim, as a multiple of the wait before it, after which a rejection counts as
+/// the first one. Two owners that supersede each other in turn hold their claims for about as long as
+/// the other one waits.
+const LASTING_CLAIM_FACTOR: u64 = 8;
+
 /// Time for which a VM waits for an owner's heartbeat after its start: one interval and the
 /// network delay.
 const STARTUP_WAIT_MS: u64 = 130;
 
 /// Time by which the token of the next claim is ahead of one that a target rejected in favor of an
-/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds.
+/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds. Doubled for
+/// each further rejection, since earlier rejections may have taken the higher token far ahead of all
+/// clocks.
 const FENCED_TOKEN_LEAD_MS: u64 = 10_000;
 
+/// Maximum number of times that [`FENCED_TOKEN_LEAD_MS`] is doubled, to 43 min.
+const MAX_FENCED_LEAD_DOUBLINGS: u32 = 8;
+
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
 const VM_LIST_WAIT_MS: u64 = 700;
 
@@ -151,6 +169,7 @@
     Follower,
     Owner {
         token: u64,
+        since_ms: u64,
     },
     /// A target rejected the token of the claim as too low.
     Fenced {
@@ -186,6 +205,9 @@
     leaving: bool,
     started_at_ms: u64,
     no_claim_before_ms: u64,
+    /// Number of rejections of this VM's tokens in a row while the VM with the higher token was
+    /// unknown.
+    fenced_in_a_row: u32,
     /// Highest token that this VM knows of.
     highest_token: u64,
     /// Sorted by name.
@@ -210,6 +232,7 @@
             leaving: false,
             started_at_ms: now_ms,
             no_claim_before_ms: 0,
+            fenced_in_a_row: 0,
             highest_token: 0,
             peers: Vec::new(),
             known_peer_count: 0,
@@ -231,7 +254,7 @@
     /// Returns the token of this VM's claim, or `None` if it is not the owner.
     pub const fn claim_token(&self) -> Option<u64> {
         match self.claim_state {
-            ClaimState::Owner { token } => Some(token),
+            ClaimState::Owner { token, .. } => Some(token),
             ClaimState::Follower | ClaimState::Fenced { .. } => None,
         }
     }
@@ -365,8 +388,15 @@
 
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
-        if let ClaimState::Owner { token } = self.claim_state {
-            self.highest_token = advance_token(self.highest_token.max(token), FENCED_TOKEN_LEAD_MS);
+        if let ClaimState::Owner { token, since_ms } = self.claim_state {
+            let lasted_ms = now_ms - since_ms;
+            if lasted_ms >= self.fenced_backoff_ms() * LASTING_CLAIM_FACTOR {
+                self.fenced_in_a_row = 0;
+            }
+            let lead_ms =
+                FENCED_TOKEN_LEAD_MS << self.fenced_in_a_row.min(MAX_FENCED_LEAD_DOUBLINGS);
+            self.fenced_in_a_row += 1;
+            self.highest_token = advance_token(self.highest_token.max(token), lead_ms);
             self.claim_state = ClaimState::Fenced { since_ms: now_ms };
         }
     }
@@ -376,7 +406,7 @@
     /// Tokens derive from `unix_ms`, the Unix time; all delays are measured with `now_ms`.
     pub fn tick(&mut self, unix_ms: u64, now_ms: u64) -> Option<OwnershipChange> {
         match self.claim_state {
-            ClaimState::Owner { token } => {
+            ClaimState::Owner { token, .. } => {
                 let peer = self.owner_of(&self.local_node.zone)?;
                 let claimant = &peer.heartbeat;
                 // Targets don't tell apart owners with equal tokens, so that one has to yield.
@@ -395,7 +425,9 @@
                 Some(OwnershipChange::Released { token, rival })
             }
             ClaimState::Fenced { since_ms } => {
-                if now_ms < since_ms + FENCED_BACKOFF_MS {
+                if self.has_live_owner(now_ms) {
+                    self.fenced_in_a_row = 0;
+                } else if now_ms < since_ms + self.fenced_backoff_ms() {
                     return None;
                 }
                 self.claim_state = ClaimState::Follower;
@@ -408,13 +440,25 @@
                 let known_token = self.highest_token;
                 let token = claim_token(unix_ms, known_token, self.local_node.ip);
                 self.highest_token = token;
-                self.claim_state = ClaimState::Owner { token };
+                self.claim_state = ClaimState::Owner { token, since_ms: now_ms };
                 Some(OwnershipChange::Claimed { token, known_token })
             }
             ClaimState::Follower => None,
         }
     }
 
+    /// Returns how long this VM waits after the last rejection of its token.
+    fn fenced_backoff_ms(&self) -> u64 {
+        let repeated = self.fenced_in_a_row.saturating_sub(EARLY_REJECTIONS);
+        FENCED_BACKOFF_MS << repeated.min(MAX_FENCED_BACKOFF_DOUBLINGS)
+    }
+
+    /// Returns whether a live owner of this VM's zone is known.
+    fn has_live_owner(&self, now_ms: u64) -> bool {
+        let owner = self.owner_of(&self.local_node.zone);
+        owner.is_some_and(|owner| owner.is_alive(now_ms))
+    }
+
     /// Returns whether this VM should claim the targets of its zone now.
     fn should_claim(&self, now_ms: u64) -> bool {
         if self.leaving || now_ms < self.no_claim_before_ms {
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -79,6 +79,59 @@
     assert!(token_claimed_at([10, 2, 64, 20], None, unix_ms) > unix_ms * 1_000 + 10_000_000);
 }
 
+/// Targets of a zone that obey the highest token, and the VMs that claim them without hearing of each
+/// other.
+struct Duel {
+    vms: Vec<Ownership>,
+    obeyed_token: u64,
+}
+
+impl Duel {
+    /// Interval at which an owner requests listings.
+    const LISTING_INTERVAL_MS: u64 = 50;
+
+    fn new(vm_count: u8, obeyed_token: u64) -> Self {
+        let vms = (1..=vm_count).map(|number| Ownership::new(node("a", number, 250), 1, 0));
+        Duel { vms: vms.collect(), obeyed_token }
+    }
+
+    /// Runs until `until_ms`; returns the times at which the targets obeyed a new owner.
+    fn hand_overs_ms(&mut self, until_ms: u64) -> Vec<u64> {
+        let mut hand_overs_ms = Vec::new();
+        for now_ms in (0..until_ms).step_by(Self::LISTING_INTERVAL_MS as usize) {
+            for vm in &mut self.vms {
+                vm.tick(1_784_377_963_000 + now_ms, now_ms);
+                match vm.claim_token() {
+                    Some(token) if token > self.obeyed_token => {
+                        self.obeyed_token = token;
+                        hand_overs_ms.push(now_ms);
+                    }
+                    Some(token) if token < self.obeyed_token => vm.record_fenced(now_ms),
+                    _ => {}
+                }
+            }
+        }
+        hand_overs_ms
+    }
+}
+
+/// Guards against two owners that take a zone from each other several times a second.
+#[test]
+fn owners_that_never_hear_each_other_supersede_each_other_ever_more_rarely() {
+    let hand_overs_ms = Duel::new(2, 0).hand_overs_ms(60_000);
+    assert!(hand_overs_ms.len() <= 20, "{hand_overs_ms:?}");
+}
+
+/// Guards against a zone that nobody serves since a lost owner's token was far ahead of all clocks.
+#[test]
+fn token_far_ahead_of_the_clock_is_exceeded_within_a_second_of_the_first_claim() {
+    let mut ahead = Duel::new(1, 0);
+    ahead.hand_overs_ms(2_000);
+    let mut duel = Duel::new(1, ahead.obeyed_token + (60 << 24));
+    let hand_overs_ms = duel.hand_overs_ms(3_000);
+    assert!(matches!(hand_overs_ms[..], [at_ms] if at_ms <= 1_130 + 1_000), "{hand_overs_ms:?}");
+}
+
 #[test]
 fn vm_without_vm_list_delays_its_claim() {
     let mut ownership = Ownership::new(node("a", 2, 250), 1, 0);
