Start a released job again only on listings from after its release

Callers would see a task run twice: the owner that takes over a released job counted any current listing of the targets that the job names, also one requested before the former owner started the run. A target obeys both owners in turn if their tokens are equal, or if it has restarted in between and lost the token that it obeyed; then the listing shows nothing of a run that starts after it.

Each named target must now have sent a listing that was requested at or after the arrival of the job. The dispatcher requests these listings at once, at most every 5 ms per target (the jobs of an owner that steps down arrive together), and every 100 ms while they stay out. A target that is unknown, silent or removed still means waiting until a lease has expired.

Seen failing without the change: job_is_not_started_again_on_a_listing_from_before_its_release, `left: [("t-0", Run {..., number: 1 })], right: []`; the three tests of the requests, `left: [], right: ["t-0"]`. A job of a calm hand-over waited 0 ms for targets that were listed before, and waits one round trip now (released_job_waits_for_one_round_trip_to_the_targets_of_its_runs: 2 ms at a round trip of 2 ms).

job_starts_once_the_targets_of_its_runs_are_listed had the listing arrive before the job, which is the fault itself; it has the job arrive first now.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -39,6 +39,10 @@
 /// Minimum interval between two extra listing requests to the same target.
 const MIN_LISTING_REQUEST_INTERVAL_MS: u64 = 100;
 
+/// Value of [`MIN_LISTING_REQUEST_INTERVAL_MS`] for jobs that arrived after the last request. The jobs
+/// of an owner that steps down arrive within a few ms and then wait for the same targets.
+const MIN_AWAITED_LISTING_INTERVAL_MS: u64 = 5;
+
 #[derive(Debug)]
 struct CachedAnswer {
     job: JobId,
@@ -439,19 +443,60 @@
 
     /// Requests a listing from a target, unless one was requested a short time ago.
     fn request_listing(&mut self, target_index: usize, now_ms: u64) {
+        let last_ms = self.listing_requested_at_ms(&self.targets[target_index].info().id);
+        if last_ms.is_none_or(|last_ms| now_ms >= last_ms + MIN_LISTING_REQUEST_INTERVAL_MS) {
+            self.push_listing_request(target_index, now_ms);
+        }
+    }
+
+    /// Returns the time of the last extra listing request to a target.
+    fn listing_requested_at_ms(&self, id: &str) -> Option<u64> {
+        let index = self.listing_requests.binary_search_by(|(requested, _)| (**requested).cmp(id));
+        index.ok().map(|index| self.listing_requests[index].1)
+    }
+
+    fn push_listing_request(&mut self, target_index: usize, now_ms: u64) {
         let target = Arc::clone(&self.targets[target_index].info().id);
         match self.listing_requests.binary_search_by(|(requested, _)| requested.cmp(&target)) {
-            Ok(position)
-                if now_ms < self.listing_requests[position].1 + MIN_LISTING_REQUEST_INTERVAL_MS =>
-            {
-                return;
-            }
             Ok(position) => self.listing_requests[position].1 = now_ms,
             Err(position) => self.listing_requests.insert(position, (Arc::clone(&target), now_ms)),
         }
         self.actions.push(Action::RequestListing { target });
     }
 
+    /// Requests the listings that released jobs wait for.
+    fn request_awaited_listings(&mut self, now_ms: u64) {
+        let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
+        let mut awaited: Vec<usize> = Vec::new();
+        for job in queued_jobs {
+            let since_ms = job.arrived_at_ms();
+            let is_awaited = |index: &usize| {
+                let target = &self.targets[*index];
+                !target.is_removed()
+                    && !target.has_listing_since(since_ms)
+                    && self.may_request_awaited_listing(target, since_ms, now_ms)
+            };
+            let run_targets = job.awaited_targets(now_ms).iter();
+            awaited.extend(run_targets.filter_map(|id| self.target_index(id)).filter(is_awaited));
+        }
+        awaited.sort_unstable();
+        awaited.dedup();
+        for target_index in awaited {
+            self.push_listing_request(target_index, now_ms);
+        }
+    }
+
+    /// Returns whether to request a listing for a job that arrived at `since_ms`. The last one that was
+    /// requested does not count if it was requested before that, or if it may be lost.
+    fn may_request_awaited_listing(&self, target: &Target, since_ms: u64, now_ms: u64) -> bool {
+        let Some(last_ms) = self.listing_requested_at_ms(&target.info().id) else { return true };
+        let interval_ms = match last_ms < since_ms {
+            true => MIN_AWAITED_LISTING_INTERVAL_MS,
+            false => MIN_LISTING_REQUEST_INTERVAL_MS,
+        };
+        now_ms >= last_ms + interval_ms
+    }
+
     /// Counts and logs a run that ended without a listed end.
     fn record_lost_run(
         &mut self,
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -111,6 +111,7 @@
                     return;
                 }
                 self.adopt_listed_runs(id, now_ms);
+                self.request_awaited_listings(now_ms);
                 self.place_tasks(now_ms);
             }
             Err((reason, retry_after_ms)) => {
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -54,6 +54,7 @@
         self.refuse_queued_too_long(now_ms);
         self.give_up_unreachable_deadlines(now_ms);
         self.defer_late(now_ms);
+        self.request_awaited_listings(now_ms);
         self.place_tasks(now_ms);
         for target in &mut self.targets {
             target.prune_recent_ends(now_ms);
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    EarlierRuns, JobId, Run, StepSpec, Submission, TaskId,
+    EarlierRuns, JobId, LEASE_EXPIRY_MS, Run, StepSpec, Submission, TaskId,
     dispatcher::{QueueEntry, RequestId},
 };
 
@@ -378,6 +378,20 @@
         }
     }
 
+    /// Returns the targets whose listings show the runs that earlier dispatchers started, until these
+    /// must have ended.
+    pub(super) fn awaited_targets(&self, now_ms: u64) -> &[Arc<str>] {
+        match self.submission.run_targets.as_deref() {
+            Some(targets)
+                if self.submission.earlier_runs == EarlierRuns::OwnZone
+                    && now_ms < self.arrived_at_ms + LEASE_EXPIRY_MS =>
+            {
+                targets
+            }
+            _ => &[],
+        }
+    }
+
     /// Returns the indexes of the waiting tasks whose dependencies are done.
     pub(super) fn startable_tasks(&self) -> Vec<usize> {
         let tasks = self.tasks.iter().enumerate();
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -87,12 +87,15 @@
             // The caller may have sent the job before, to the earlier owner of this zone, which may
             // be too slow to notice that the caller disconnected.
             EarlierRuns::None => self.are_zone_runs_known(&job.submission().queue.service, now_ms),
-            // The earlier owner renewed leases until it released the job, whatever this dispatcher
-            // knew by then, so that neither its term nor the targets that it knows matter.
+            // The earlier owner started tasks and renewed leases until it released the job, whatever
+            // this dispatcher knew by then, so that neither its term nor the targets that it knows
+            // matter, nor what they listed before.
             EarlierRuns::OwnZone => {
                 let has_listing = |id: &Arc<str>| {
                     let index = self.target_index(id);
-                    index.is_some_and(|index| self.targets[index].has_current_listing())
+                    index.is_some_and(|index| {
+                        self.targets[index].has_listing_since(job.arrived_at_ms())
+                    })
                 };
                 let targets = job.submission().run_targets.as_deref();
                 targets.is_some_and(|targets| targets.iter().all(has_listing))
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -143,6 +143,11 @@
         self.clock.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
     }
 
+    /// Returns whether a listing has arrived that was requested at `since_ms` or later.
+    pub const fn has_listing_since(&self, since_ms: u64) -> bool {
+        self.has_current_listing() && self.last_listing_requested_at_ms >= since_ms
+    }
+
     /// Records that a listing request failed after `took_ms`, where `timeout_ms` is its limit.
     ///
     /// A request that fails later than its limit shows that this process is slow, not that the
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -134,6 +134,15 @@
         starts.collect()
     }
 
+    /// Takes the pending actions and returns the targets that are asked for a listing.
+    pub fn take_listing_requests(&mut self) -> Vec<String> {
+        let requests = self.take_actions().into_iter().filter_map(|action| match action {
+            Action::RequestListing { target } => Some(target.to_string()),
+            _ => None,
+        });
+        requests.collect()
+    }
+
     pub fn take_stops(&mut self) -> Vec<Run> {
         let stops = self.take_actions().into_iter().filter_map(|action| match action {
             Action::Stop { run, .. } => Some(run),
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -235,12 +235,57 @@
 
     job_starts_once_the_targets_of_its_runs_are_listed(harness: [16]) {
         let mut new_owner = Harness::after_takeover(&[16, 16]);
-        new_owner.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Failed)]);
         new_owner.submit(moved_job(&["t-0"]));
+        new_owner.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Failed)]);
         assert_eq!(new_owner.take_starts().len(), 1);
         assert_eq!(harness.take_answers(), []);
     }
 
+    // Targets obey both owners in turn if their tokens are equal, or if they have restarted.
+    job_is_not_started_again_on_a_listing_from_before_its_release(harness: [16, 16]) {
+        let listed_at_ms = harness.now_ms;
+        harness.advance(20);
+        harness.submit(moved_job(&["t-1"]));
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_empty_listing(listed_at_ms, 1);
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_listing(1, &[(run(0, 1), 30)], &[]);
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_listing(1, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        assert_eq!(harness.take_answers(), [JobAnswer::Completed]);
+    }
+
+    released_job_waits_for_one_round_trip_to_the_targets_of_its_runs(harness: [16, 16]) {
+        harness.submit(moved_job(&["t-0", "t-1"]));
+        let released_at_ms = harness.now_ms;
+        assert_eq!(harness.take_listing_requests(), ["t-0", "t-1"]);
+        harness.apply_empty_listing(released_at_ms, 0);
+        assert_eq!(harness.take_starts(), []);
+        harness.now_ms += 2;
+        harness.apply_empty_listing(released_at_ms, 1);
+        assert_eq!(harness.take_starts().len(), 1);
+        assert_eq!(harness.now_ms - released_at_ms, 2);
+    }
+
+    // An extra listing may have been requested shortly before for another reason.
+    listings_for_a_released_job_are_not_put_off(harness: [16]) {
+        harness.submit(moved_job(&["t-0"]));
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+        harness.now_ms += 2;
+        harness.submit(Submission { job: job("00000000000000bb", vec![step(1)]).job, ..moved_job(&["t-0"]) });
+        harness.advance(5);
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+    }
+
+    lost_listing_for_a_released_job_is_requested_again(harness: [16]) {
+        harness.submit(moved_job(&["t-0"]));
+        harness.take_actions();
+        harness.advance(95);
+        assert_eq!(harness.take_listing_requests(), [""; 0]);
+        harness.advance(5);
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+    }
+
     // Another thread may submit a job while the owner steps down; the next owner starts it.
     job_submitted_after_the_release_is_not_taken(harness: [16]) {
         harness.dispatcher.step_down();
