Tell the next owner under which token a job was released

Callers could see a task run twice: a listing fences only owners with lower tokens. An owner with the higher one (it drains, or yields a tie) releases a job while a start request of it is in flight; the next owner lists the target, sees no run, and starts the task elsewhere before the request arrives.

`JobAnswer::Moved` carries the highest token of the releasing owner's requests (its claim plus the restarts of targets that it has seen). The routed job keeps the highest of all releases, and an owner whose token is not above it takes the job as one without named targets, so that it waits until leases have expired. The fields are optional: a process of the former build reports no token, and its jobs rest on listings from after their arrival, as before.

Seen failing without the comparison in `received_by`: listings_under_a_token_that_does_not_fence_the_releasing_owner_do_not_count, `left: Some(["t-0"]), right: None`.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -115,6 +115,7 @@
         queue: queue.rules.clone(),
         earlier_runs: EarlierRuns::None,
         run_targets: None,
+        released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
         holder_token: None,
@@ -250,8 +251,13 @@
                     routed_job.mark_held_by(token);
                     continue;
                 }
-                Ok(JobReply::Answered(JobAnswer::Moved { done, earlier_runs, run_targets })) => {
-                    routed_job.mark_moved(done, earlier_runs, run_targets);
+                Ok(JobReply::Answered(JobAnswer::Moved {
+                    done,
+                    earlier_runs,
+                    run_targets,
+                    token,
+                })) => {
+                    routed_job.mark_moved(done, earlier_runs, run_targets, token);
                 }
                 // This owner has not taken the job; what earlier owners reported still holds.
                 Ok(JobReply::Answered(JobAnswer::NotTaken)) => {}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -69,7 +69,12 @@
 
 /// Returns the answer to a job whose owner stopped without reporting which tasks it started.
 fn moved_answer() -> JobAnswer {
-    JobAnswer::Moved { done: Vec::new(), earlier_runs: EarlierRuns::AnyZone, run_targets: None }
+    JobAnswer::Moved {
+        done: Vec::new(),
+        earlier_runs: EarlierRuns::AnyZone,
+        run_targets: None,
+        token: None,
+    }
 }
 
 /// A request to a target to start a run.
@@ -108,7 +113,8 @@
     /// Starts an owner that dispatches under the fencing token `token`.
     pub(crate) fn spawn(shared: Arc<Shared>, token: u64) -> Arc<Self> {
         let run_times = shared.run_times.lock().clone();
-        let dispatcher = Dispatcher::new(run_times, token * MAX_PARTS_PER_TOKEN, shared.now_ms());
+        let dispatcher =
+            Dispatcher::new(run_times, token, token * MAX_PARTS_PER_TOKEN, shared.now_ms());
         let client = TargetClient::new(Arc::clone(&shared.http));
         let state = State {
             dispatcher,
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -54,6 +54,8 @@
 /// Schedules jobs on the targets of one zone, of which it is the only owner.
 #[derive(Debug)]
 pub struct Dispatcher {
+    /// The fencing token of the owner.
+    token: u64,
     /// Time at which this dispatcher took over the targets.
     took_over_at_ms: u64,
     /// Time of the last method call that passed a time.
@@ -103,10 +105,12 @@
 impl Dispatcher {
     /// Returns a dispatcher that takes over at `now_ms` and has no targets yet.
     ///
-    /// Parts offloaded to other zones are numbered from `first_part`. No two dispatchers may use
-    /// the same numbers, since other zones cache answers under them.
-    pub const fn new(run_times: RunTimes, first_part: u64, now_ms: u64) -> Self {
+    /// `token` is the fencing token of its owner. Parts offloaded to other zones are numbered from
+    /// `first_part`. No two dispatchers may use the same numbers, since other zones cache answers under
+    /// them.
+    pub const fn new(run_times: RunTimes, token: u64, first_part: u64, now_ms: u64) -> Self {
         Dispatcher {
+            token,
             took_over_at_ms: now_ms,
             last_event_at_ms: now_ms,
             resync_since_ms: None,
@@ -258,6 +262,7 @@
             runs.extend(target.runs().iter().map(|run| (run.run.task.job, target_id)));
         }
         runs.sort_unstable();
+        let token = self.highest_request_token();
         for job in self.jobs.drain(..) {
             let first = runs.partition_point(|(other, _)| *other < job.id());
             let of_job = runs[first..].iter().take_while(|(other, _)| *other == job.id());
@@ -269,6 +274,7 @@
                     done: job.done_tasks(),
                     earlier_runs: job.earlier_runs(),
                     run_targets: run_targets.clone(),
+                    token: Some(token),
                 },
             });
             self.actions.extend(moved);
@@ -277,6 +283,11 @@
         self.offloaded_parts.clear();
     }
 
+    /// Returns the highest token that requests to targets carried.
+    fn highest_request_token(&self) -> u64 {
+        self.token + self.targets.iter().map(Target::token_offset).max().unwrap_or(0)
+    }
+
     /// Returns the targets that have runs of a job.
     fn targets_with_runs(&self, job: JobId) -> impl Iterator<Item = Arc<str>> {
         let has_run =
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -411,6 +411,7 @@
         Submission {
             earlier_runs: EarlierRuns::None,
             run_targets: None,
+            released_under: None,
             part: Some(part),
             holder_token: None,
             excluded_tasks: others.map(|(_, task)| (task.id.step, task.id.index)).collect(),
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -268,6 +268,10 @@
     /// dispatcher did not name them.
     #[serde(default)]
     pub run_targets: Option<Vec<Arc<str>>>,
+    /// Highest token under which an owner that released the job sent requests to targets; `None` if no
+    /// owner reported one.
+    #[serde(default)]
+    pub released_under: Option<u64>,
     /// Number of the part, if another zone's dispatcher submits part of a job; the part must be
     /// started at once or refused.
     pub part: Option<u64>,
@@ -328,7 +332,13 @@
 
     /// Returns the submission as the owner with `token` must handle it: if an owner with another
     /// token held the job, its tasks may be running in any zone.
+    ///
+    /// Targets that obey `token` reject lower ones only. If an owner released the job under an equal or
+    /// higher one, a run may start after a target has sent its listing, so that no listing counts.
     pub fn received_by(mut self, token: u64) -> Self {
+        if self.released_under.is_some_and(|released_under| released_under >= token) {
+            self.run_targets = None;
+        }
         if self.holder_token.is_some_and(|holder_token| holder_token != token) {
             self.earlier_runs = EarlierRuns::StillHeld;
         }
@@ -396,6 +406,9 @@
         /// Ids of the targets of this zone among them; `None` if they are not known.
         #[serde(default)]
         run_targets: Option<Vec<Arc<str>>>,
+        /// Highest token that the dispatcher's requests to targets carried; `None` if it is not known.
+        #[serde(default)]
+        token: Option<u64>,
     },
     /// The process does not own the targets and did not accept the job.
     NotTaken,
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -43,18 +43,21 @@
     }
 
     /// Records that the owner released the job: `done` tasks are excluded from now on, and
-    /// `earlier_runs` says where other tasks may still run, on `run_targets` of the zone if known.
+    /// `earlier_runs` says where other tasks may still run, on `run_targets` of the zone if known. The
+    /// requests of the owner carried tokens up to `token`.
     pub fn mark_moved(
         &mut self,
         done: Vec<(u16, u16)>,
         earlier_runs: EarlierRuns,
         run_targets: Option<Vec<Arc<str>>>,
+        token: Option<u64>,
     ) {
         self.submission.holder_token = None;
         self.submission.excluded_tasks.extend(done);
         // An owner that started nothing reports nothing; what earlier owners reported still holds.
         if earlier_runs != EarlierRuns::None {
             self.submission.run_targets = run_targets;
+            self.submission.released_under = self.submission.released_under.max(token);
         }
         self.submission.earlier_runs = self.submission.earlier_runs.max(earlier_runs);
     }
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -12,6 +12,9 @@
 /// Time after which a caller stops waiting.
 pub const DEADLINE_MS: u64 = 1_500;
 
+/// Fencing token of the owner.
+pub const TOKEN: u64 = 5_000;
+
 pub const JOB: &str = "00000000000000aa";
 
 /// A dispatcher with a simulated clock; the test reports what its targets do.
@@ -37,7 +40,7 @@
     /// Returns a dispatcher that has just taken over and has received no listing.
     pub fn after_takeover(cores: &[u64]) -> Self {
         let now_ms = 1_000;
-        let mut dispatcher = Dispatcher::new(RunTimes::default(), 0, now_ms);
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), TOKEN, 0, now_ms);
         for (index, cores) in cores.iter().enumerate() {
             dispatcher.upsert_target(target(index, *cores));
         }
@@ -251,6 +254,7 @@
         },
         earlier_runs: EarlierRuns::None,
         run_targets: None,
+        released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
         holder_token: None,
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -1,6 +1,8 @@
 //! Information that an owner gets about runs of earlier owners.
 
-use ggb_placement::{BatchJob, EarlierRuns, PartOutcome, QueueRules, RoutedJob, Submission};
+use ggb_placement::{
+    BatchJob, EarlierRuns, JobAnswer, PartOutcome, QueueRules, RoutedJob, Submission,
+};
 
 /// Time after which a caller stops waiting.
 const DEADLINE_MS: u64 = 1_500;
@@ -23,6 +25,7 @@
         },
         earlier_runs: EarlierRuns::None,
         run_targets: None,
+        released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
         holder_token: None,
@@ -69,13 +72,42 @@
     next_owner_is_told_of_runs_of_the_releasing_owner(routed_job) {
         routed_job.mark_held_by(1);
         let run_targets = Some(vec!["t-0".into()]);
-        routed_job.mark_moved(vec![(0, 1)], EarlierRuns::OwnZone, run_targets.clone());
-        routed_job.mark_moved(vec![], EarlierRuns::None, Some(vec![]));
+        routed_job.mark_moved(vec![(0, 1)], EarlierRuns::OwnZone, run_targets.clone(), Some(1));
+        routed_job.mark_moved(vec![], EarlierRuns::None, Some(vec![]), Some(1));
         assert_eq!(earlier_runs_for(&mut routed_job, 2), EarlierRuns::OwnZone);
         assert_eq!(routed_job.submission().run_targets, run_targets);
         assert_eq!(routed_job.submission().excluded_tasks, [(0, 1)]);
     }
 
+    // A start request of the owner with the higher token may arrive after the listing.
+    listings_under_a_token_that_does_not_fence_the_releasing_owner_do_not_count(routed_job) {
+        let run_targets = Some(vec!["t-0".into()]);
+        let mark_moved = |routed_job: &mut RoutedJob, token| {
+            routed_job.mark_moved(vec![], EarlierRuns::OwnZone, run_targets.clone(), token);
+        };
+        mark_moved(&mut routed_job, Some(20));
+        mark_moved(&mut routed_job, Some(10));
+        mark_moved(&mut routed_job, None);
+        let received_by = |token| routed_job.submission().clone().received_by(token);
+        for token in [15, 20] {
+            assert_eq!(received_by(token).run_targets, None);
+            assert_eq!(received_by(token).earlier_runs, EarlierRuns::OwnZone);
+        }
+        assert_eq!(received_by(21).run_targets, run_targets);
+    }
+
+    // Processes of the former build report no token.
+    answer_without_a_token_names_the_targets_of_runs(routed_job) {
+        let answer = r#"{"moved":{"done":[],"earlier_runs":"own_zone","run_targets":["t-0"]}}"#;
+        let answer = serde_json::from_str(answer).expect("the token is optional");
+        let JobAnswer::Moved { done, earlier_runs, run_targets, token } = answer else {
+            panic!("{answer:?}")
+        };
+        routed_job.mark_moved(done, earlier_runs, run_targets, token);
+        let received = routed_job.submission().clone().received_by(1);
+        assert_eq!(received.run_targets, Some(vec!["t-0".into()]));
+    }
+
     part_that_was_held_is_lost_when_its_owner_refuses_connections(routed_job) {
         assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Refused);
         routed_job.mark_held_by(1);
@@ -84,7 +116,7 @@
 
     possibly_taken_job_remains_still_held(routed_job) {
         routed_job.mark_possibly_taken();
-        routed_job.mark_moved(vec![], EarlierRuns::None, None);
+        routed_job.mark_moved(vec![], EarlierRuns::None, None, None);
         assert_eq!(earlier_runs_for(&mut routed_job, 2), EarlierRuns::StillHeld);
     }
 }
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -213,8 +213,9 @@
     /// Starts an owner of a zone that lags by `lag_ms`. Returns its index.
     fn take_over_with_lag(&mut self, zone: usize, lag_ms: u64) -> usize {
         let owner_index = self.owners.len();
-        let mut dispatcher =
-            Dispatcher::new(RunTimes::default(), owner_index as u64 * 10_000, self.now_ms);
+        let token = (owner_index as u64 + 1) * 1_000;
+        let first_part = owner_index as u64 * 10_000;
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), token, first_part, self.now_ms);
         let targets: Vec<usize> =
             (0..self.targets.len()).filter(|index| self.targets[*index].zone == zone).collect();
         for target_index in &targets {
@@ -222,7 +223,7 @@
         }
         self.owners.push(Owner {
             zone,
-            token: (owner_index as u64 + 1) * 1_000,
+            token,
             dispatcher,
             waiters: Vec::new(),
             offloaded: Vec::new(),
@@ -419,6 +420,7 @@
             },
             earlier_runs: EarlierRuns::None,
             run_targets: None,
+            released_under: None,
             part: None,
             excluded_tasks: Vec::new(),
             holder_token: None,
@@ -556,11 +558,11 @@
             }
             (
                 Waiter::Caller(caller_index),
-                JobAnswer::Moved { done, earlier_runs, run_targets },
+                JobAnswer::Moved { done, earlier_runs, run_targets, token },
             ) => {
                 let submission = &mut self.callers[caller_index].submission;
                 let mut routed_job = RoutedJob::new(submission.clone());
-                routed_job.mark_moved(done, earlier_runs, run_targets);
+                routed_job.mark_moved(done, earlier_runs, run_targets, token);
                 *submission = routed_job.submission().clone();
                 self.send_to_owner(caller_index, zone);
             }
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -15,7 +15,7 @@
 fn moved_job(run_targets: &[&str]) -> Submission {
     let mut routed_job = RoutedJob::new(job(JOB, vec![step(1)]));
     let run_targets = run_targets.iter().map(|id| Arc::from(*id)).collect();
-    routed_job.mark_moved(vec![], EarlierRuns::OwnZone, Some(run_targets));
+    routed_job.mark_moved(vec![], EarlierRuns::OwnZone, Some(run_targets), None);
     Submission { deadline_ms: 9_000, ..routed_job.submission().clone() }
 }
 
@@ -310,6 +310,21 @@
         assert_eq!(run_targets.collect::<Vec<_>>(), expected.map(Some));
     }
 
+    // Requests to a target that has restarted carry higher tokens than the claim.
+    released_job_reports_the_highest_token_of_requests_to_targets(harness: [16, 16]) {
+        let token_of_release = |harness: &mut Harness| {
+            harness.submit(job(JOB, vec![step(1)]));
+            harness.dispatcher.step_down();
+            match &harness.take_answers()[..] {
+                [JobAnswer::Moved { token, .. }] => *token,
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!(token_of_release(&mut Harness::new(&[16])), Some(TOKEN));
+        harness.apply_listing_of_incarnation(2, 1, &[], &[]);
+        assert_eq!(token_of_release(&mut harness), Some(TOKEN + 1));
+    }
+
     // The caller may return to a process that knows nothing of the run.
     lease_ends_before_the_caller_of_a_run_returns(harness: [16]) {
         harness.submit(job(JOB, vec![step(1)]));
