Tell the holder of a job by its claim, not by its fencing token

Callers could see a task run twice: an owner took an equal token in `held_under` for "it was me, and I stopped the job's runs since", so that it started the job at once. Two owners that derive the same token, or a process that derives its former one again after its clock stepped back, take each other's jobs for their own.

Each owner draws a random identifier of its claim, reports it in `Pending` and compares it with the one in the submission. The names in messages stay, with the identifier where the token was: a process of the former build sees a mismatch and waits for the runs of the holder, as does this one.

Seen failing with the token compared instead: another_owner_with_the_same_token_is_told_that_the_job_is_still_held, `left: None, right: StillHeld` (formerly another_owner_is_told_that_the_job_is_still_held, now with equal tokens).

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -118,7 +118,7 @@
         released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
-        holder_token: None,
+        holder: None,
         waited_ms: 0,
         deadline_ms,
         caller_check_age_ms: 0,
@@ -247,8 +247,8 @@
                 }
             };
             match reply {
-                Ok(JobReply::Pending { token }) => {
-                    routed_job.mark_held_by(token);
+                Ok(JobReply::Pending { claim }) => {
+                    routed_job.mark_held_by(claim);
                     continue;
                 }
                 Ok(JobReply::Answered(JobAnswer::Moved {
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -61,7 +61,7 @@
         let submission = routed_job
             .submission_after(now_ms - received_at_ms, now_ms.saturating_sub(checked_at_ms));
         match send_job(shared, addr, submission, now_ms).await {
-            Ok(JobReply::Pending { token }) => routed_job.mark_held_by(token),
+            Ok(JobReply::Pending { claim }) => routed_job.mark_held_by(claim),
             Ok(JobReply::Answered(JobAnswer::Completed)) => return PartOutcome::Completed,
             Ok(JobReply::Answered(JobAnswer::Failed)) => return PartOutcome::Failed,
             Ok(JobReply::Answered(JobAnswer::Refused { .. })) => return PartOutcome::Refused,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -14,8 +14,8 @@
 use ggb_adapter::{ListingReply, StartReply, TargetClient};
 use ggb_model::Zone;
 use ggb_placement::{
-    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load, PartOutcome,
-    RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
+    Action, Claim, ClaimId, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load,
+    PartOutcome, RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -52,8 +52,7 @@
 pub(crate) struct Owner {
     shared: Arc<Shared>,
     client: TargetClient,
-    /// The fencing token of this owner's claim.
-    token: u64,
+    claim: Claim,
     state: Mutex<State>,
     stopped: AtomicBool,
 }
@@ -112,6 +111,7 @@
 impl Owner {
     /// Starts an owner that dispatches under the fencing token `token`.
     pub(crate) fn spawn(shared: Arc<Shared>, token: u64) -> Arc<Self> {
+        let claim = Claim { id: ClaimId(rand::random()), token };
         let run_times = shared.run_times.lock().clone();
         let dispatcher =
             Dispatcher::new(run_times, token, token * MAX_PARTS_PER_TOKEN, shared.now_ms());
@@ -126,7 +126,7 @@
         let owner = Arc::new(Owner {
             shared,
             client,
-            token,
+            claim,
             state: Mutex::new(state),
             stopped: AtomicBool::new(false),
         });
@@ -202,7 +202,7 @@
             request
         };
         let pending_job = PendingJob { owner: Arc::clone(self), request, answer };
-        let submission = submission.received_by(self.token);
+        let submission = submission.received_by(self.claim);
         let may_have_started =
             submission.part.is_some() && submission.earlier_runs != EarlierRuns::None;
         let is_stopped = self.stopped.load(Ordering::Relaxed);
@@ -239,9 +239,9 @@
         self.update(|dispatcher, now_ms| dispatcher.apply_part_outcome(part, outcome, now_ms));
     }
 
-    /// Returns the fencing token of this owner's claim.
-    pub(crate) const fn token(&self) -> u64 {
-        self.token
+    /// Returns the identifier of this owner's claim.
+    pub(crate) const fn claim_id(&self) -> ClaimId {
+        self.claim.id
     }
 
     pub(crate) const fn shared(&self) -> &Arc<Shared> {
@@ -339,7 +339,7 @@
     async fn send_start(self: Arc<Self>, request: StartRequest) {
         let StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset } = request;
         let reply = self.client.start(
-            self.token + token_offset,
+            self.claim.token + token_offset,
             (&target, addr),
             run,
             &spec,
@@ -363,7 +363,7 @@
         run: Run,
         token_offset: u64,
     ) {
-        let token = self.token + token_offset;
+        let token = self.claim.token + token_offset;
         let answered = self.client.stop(token, (&target, addr), run, REQUEST_TIMEOUT_MS).await;
         let outcome = if answered { "answered" } else { "unanswered" };
         self.shared.metrics.target_requests.with_label_values(&["stop", outcome]).inc();
@@ -405,7 +405,7 @@
         let wait_ms = if may_wait { wait_ms } else { 0 };
         let requested_at_ms = self.shared.now_ms();
         let reply = self.client.fetch_listing(
-            self.token + token_offset,
+            self.claim.token + token_offset,
             (target, addr),
             ack_cursor,
             lease_until_clock_ms,
@@ -467,7 +467,7 @@
         if self.stopped.load(Ordering::Relaxed) {
             return;
         }
-        let token = self.token;
+        let token = self.claim.token;
         self.shared.metrics.fenced_claims.inc();
         log_event!(
             warn,
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -11,7 +11,7 @@
     ClientConnection, HttpServer, Sent, ServerLimits, json_response, json_text_response, read_body,
 };
 use ggb_membership::MessageSender;
-use ggb_placement::{JobAnswer, Submission, TargetInfo};
+use ggb_placement::{ClaimId, JobAnswer, Submission, TargetInfo};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -47,8 +47,9 @@
     Answered(JobAnswer),
     /// The job has no answer yet; the sender sends it again at once.
     Pending {
-        /// The fencing token of the owner's claim.
-        token: u64,
+        /// The owner's claim; a former build has its fencing token here.
+        #[serde(rename = "token")]
+        claim: ClaimId,
     },
 }
 
@@ -152,7 +153,9 @@
     let answer = timeout(Duration::from_millis(max_delay_ms), pending_job.answer());
     match ClientConnection::run_until_closed(connection.as_ref(), answer).await {
         Some(Ok(answer)) => json_response(StatusCode::Ok, &JobReply::Answered(answer)),
-        Some(Err(_)) => json_response(StatusCode::Ok, &JobReply::Pending { token: owner.token() }),
+        Some(Err(_)) => {
+            json_response(StatusCode::Ok, &JobReply::Pending { claim: owner.claim_id() })
+        }
         None => Response::new(StatusCode::RequestTimeout),
     }
 }
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -81,7 +81,7 @@
         }
         // An owner held the job, but the job is no longer known here: its tasks ran and were
         // stopped when the entry process stopped asking for it.
-        if submission.holder_token.is_some() {
+        if submission.holder.is_some() {
             if submission.part.is_some() {
                 self.actions.push(Action::Answer { request, answer: JobAnswer::Unknown });
                 return;
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -413,7 +413,7 @@
             run_targets: None,
             released_under: None,
             part: Some(part),
-            holder_token: None,
+            holder: None,
             excluded_tasks: others.map(|(_, task)| (task.id.step, task.id.index)).collect(),
             waited_ms: now_ms.saturating_sub(self.received_at_ms),
             caller_check_age_ms: now_ms.saturating_sub(self.caller_checked_at_ms),
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -254,6 +254,24 @@
     pub targets_enforce_capacity: bool,
 }
 
+/// Identifier of one claim to the targets of a zone, drawn at random.
+///
+/// Unlike fencing tokens, no two claims share one, also if they derive from the same clock and the same
+/// known token. Its names in messages are those of the token that stood for it in a former build; a
+/// process of that build finds that a job is held by another owner, and waits for its runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClaimId(pub u64);
+
+/// Claim of an owner to the targets of its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Tells the claim from all others.
+    pub id: ClaimId,
+    /// Fencing token; targets reject requests with a lower one than they have seen.
+    pub token: u64,
+}
+
 /// A job together with the state that determines how a dispatcher handles it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -279,9 +297,9 @@
     /// part.
     #[serde(rename = "done")]
     pub excluded_tasks: Vec<(u16, u16)>,
-    /// Fencing token of the owner that last reported holding the job.
+    /// Claim of the owner that last reported holding the job.
     #[serde(rename = "held_under")]
-    pub holder_token: Option<u64>,
+    pub holder: Option<ClaimId>,
     /// Time since an entry process received the job from its caller, in ms.
     pub waited_ms: u64,
     /// Time from that receipt after which the caller stops waiting, in ms.
@@ -330,16 +348,16 @@
         Some(all)
     }
 
-    /// Returns the submission as the owner with `token` must handle it: if an owner with another
-    /// token held the job, its tasks may be running in any zone.
+    /// Returns the submission as the owner with `claim` must handle it: if the owner with another
+    /// claim held the job, its tasks may be running in any zone.
     ///
-    /// Targets that obey `token` reject lower ones only. If an owner released the job under an equal or
+    /// Targets that obey a token reject lower ones only. If an owner released the job under an equal or
     /// higher one, a run may start after a target has sent its listing, so that no listing counts.
-    pub fn received_by(mut self, token: u64) -> Self {
-        if self.released_under.is_some_and(|released_under| released_under >= token) {
+    pub fn received_by(mut self, claim: Claim) -> Self {
+        if self.released_under.is_some_and(|released_under| released_under >= claim.token) {
             self.run_targets = None;
         }
-        if self.holder_token.is_some_and(|holder_token| holder_token != token) {
+        if self.holder.is_some_and(|holder| holder != claim.id) {
             self.earlier_runs = EarlierRuns::StillHeld;
         }
         self
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -33,8 +33,8 @@
     dispatcher::{Action, Dispatcher, ListingRequest, Load, PartOutcome, RequestId, StartOutcome},
     estimate::RunTimes,
     job::{
-        BatchJob, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules, RefusalReason, Run,
-        RunEnd, StepSpec, Submission, TaskId,
+        BatchJob, Claim, ClaimId, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules,
+        RefusalReason, Run, RunEnd, StepSpec, Submission, TaskId,
     },
     lease::{CALLER_EXPIRY_MS, LEASE_EXPIRY_MS, MAX_LEASE_MS},
     listing::{ListedEnd, ListedRun, Listing},
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{EarlierRuns, PartOutcome, Submission};
+use crate::{ClaimId, EarlierRuns, PartOutcome, Submission};
 
 /// A job that its entry process sends to one dispatcher after another until it is answered, with
 /// what the earlier dispatchers reported about it.
@@ -37,9 +37,9 @@
         &self.submission
     }
 
-    /// Records that the owner with `token` holds the job and has not finished it.
-    pub const fn mark_held_by(&mut self, token: u64) {
-        self.submission.holder_token = Some(token);
+    /// Records that the owner with `claim` holds the job and has not finished it.
+    pub const fn mark_held_by(&mut self, claim: ClaimId) {
+        self.submission.holder = Some(claim);
     }
 
     /// Records that the owner released the job: `done` tasks are excluded from now on, and
@@ -52,7 +52,7 @@
         run_targets: Option<Vec<Arc<str>>>,
         token: Option<u64>,
     ) {
-        self.submission.holder_token = None;
+        self.submission.holder = None;
         self.submission.excluded_tasks.extend(done);
         // An owner that started nothing reports nothing; what earlier owners reported still holds.
         if earlier_runs != EarlierRuns::None {
@@ -65,7 +65,7 @@
     /// Records that it is unknown whether the owner accepted the job, for example because the
     /// connection failed.
     pub fn mark_possibly_taken(&mut self) {
-        self.submission.holder_token = None;
+        self.submission.holder = None;
         self.submission.earlier_runs = EarlierRuns::StillHeld;
     }
 
@@ -80,6 +80,6 @@
 
     /// Returns whether it is certain that no task of the job has been started.
     pub fn is_unstarted(&self) -> bool {
-        self.submission.holder_token.is_none() && self.submission.earlier_runs == EarlierRuns::None
+        self.submission.holder.is_none() && self.submission.earlier_runs == EarlierRuns::None
     }
 }
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -141,9 +141,9 @@
         harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
         harness.submit(job("00000000000000bb", vec![step(1)]));
         harness.take_actions();
-        // The entry process was paused, and resubmits the job with the token of the owner that held
+        // The entry process was paused, and resubmits the job with the claim of the owner that held
         // it.
-        harness.submit(Submission { holder_token: Some(7), ..job(JOB, vec![step(1)]) });
+        harness.submit(Submission { holder: Some(ClaimId(7)), ..job(JOB, vec![step(1)]) });
         harness.advance(1_000);
         assert_eq!(harness.take_answers(), []);
     }
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -3,8 +3,8 @@
 pub use std::sync::Arc;
 
 pub use ggb_placement::{
-    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId,
-    LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome, QueueRules,
+    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, ClaimId, Dispatcher, EarlierRuns, JobAnswer,
+    JobId, LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome, QueueRules,
     RefusalReason, RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec, Submission,
     TargetInfo,
 };
@@ -257,7 +257,7 @@
         released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
-        holder_token: None,
+        holder: None,
         waited_ms: 0,
         deadline_ms: DEADLINE_MS,
         caller_check_age_ms: 0,
--- a/crates/placement/tests/offload.rs
+++ b/crates/placement/tests/offload.rs
@@ -57,7 +57,7 @@
 
     unknown_part_with_a_former_holder_is_answered_as_unknown(harness: [16]) {
         harness.submit(Submission {
-            holder_token: Some(7),
+            holder: Some(ClaimId(7)),
             part: Some(3),
             ..job(JOB, vec![step(1)])
         });
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -1,7 +1,8 @@
 //! Information that an owner gets about runs of earlier owners.
 
 use ggb_placement::{
-    BatchJob, EarlierRuns, JobAnswer, PartOutcome, QueueRules, RoutedJob, Submission,
+    BatchJob, Claim, ClaimId, EarlierRuns, JobAnswer, PartOutcome, QueueRules, RoutedJob,
+    Submission,
 };
 
 /// Time after which a caller stops waiting.
@@ -28,7 +29,7 @@
         released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
-        holder_token: None,
+        holder: None,
         waited_ms: 0,
         deadline_ms: DEADLINE_MS,
         caller_check_age_ms: 0,
@@ -47,9 +48,13 @@
     };
 }
 
-/// Returns the `earlier_runs` that the owner with `token` receives.
-fn earlier_runs_for(routed_job: &mut RoutedJob, token: u64) -> EarlierRuns {
-    routed_job.submission_after(5, 0).clone().received_by(token).earlier_runs
+/// Fencing token of claims.
+const TOKEN: u64 = 100;
+
+/// Returns the `earlier_runs` that the owner with the claim `id` receives.
+fn earlier_runs_for(routed_job: &mut RoutedJob, id: u64) -> EarlierRuns {
+    let claim = Claim { id: ClaimId(id), token: TOKEN };
+    routed_job.submission_after(5, 0).clone().received_by(claim).earlier_runs
 }
 
 cases! {
@@ -59,18 +64,19 @@
     }
 
     holder_is_told_of_no_earlier_runs(routed_job) {
-        routed_job.mark_held_by(1);
+        routed_job.mark_held_by(ClaimId(1));
         assert_eq!(earlier_runs_for(&mut routed_job, 1), EarlierRuns::None);
         assert!(!routed_job.is_unstarted());
     }
 
-    another_owner_is_told_that_the_job_is_still_held(routed_job) {
-        routed_job.mark_held_by(1);
+    // The tokens of two owners, or of a process and its successor, may be equal.
+    another_owner_with_the_same_token_is_told_that_the_job_is_still_held(routed_job) {
+        routed_job.mark_held_by(ClaimId(1));
         assert_eq!(earlier_runs_for(&mut routed_job, 2), EarlierRuns::StillHeld);
     }
 
     next_owner_is_told_of_runs_of_the_releasing_owner(routed_job) {
-        routed_job.mark_held_by(1);
+        routed_job.mark_held_by(ClaimId(1));
         let run_targets = Some(vec!["t-0".into()]);
         routed_job.mark_moved(vec![(0, 1)], EarlierRuns::OwnZone, run_targets.clone(), Some(1));
         routed_job.mark_moved(vec![], EarlierRuns::None, Some(vec![]), Some(1));
@@ -88,7 +94,10 @@
         mark_moved(&mut routed_job, Some(20));
         mark_moved(&mut routed_job, Some(10));
         mark_moved(&mut routed_job, None);
-        let received_by = |token| routed_job.submission().clone().received_by(token);
+        let received_by = |token| {
+            let claim = Claim { id: ClaimId(1), token };
+            routed_job.submission().clone().received_by(claim)
+        };
         for token in [15, 20] {
             assert_eq!(received_by(token).run_targets, None);
             assert_eq!(received_by(token).earlier_runs, EarlierRuns::OwnZone);
@@ -104,13 +113,13 @@
             panic!("{answer:?}")
         };
         routed_job.mark_moved(done, earlier_runs, run_targets, token);
-        let received = routed_job.submission().clone().received_by(1);
+        let received = routed_job.submission().clone().received_by(Claim { id: ClaimId(1), token: TOKEN });
         assert_eq!(received.run_targets, Some(vec!["t-0".into()]));
     }
 
     part_that_was_held_is_lost_when_its_owner_refuses_connections(routed_job) {
         assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Refused);
-        routed_job.mark_held_by(1);
+        routed_job.mark_held_by(ClaimId(1));
         assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Lost);
     }
 
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -423,7 +423,7 @@
             released_under: None,
             part: None,
             excluded_tasks: Vec::new(),
-            holder_token: None,
+            holder: None,
             waited_ms: 0,
             deadline_ms: DEADLINE_MS,
             caller_check_age_ms: INTRA_ZONE_LATENCY_MS,
