Number the parts of an owner from its claim, not from its fencing token

Callers could get an answer for tasks that never ran: another zone answers a part that it has finished from its cache, by job and part number, and two owners with equal tokens (or a process that derives its former token again) used the same numbers for different parts of a job.

Parts are numbered from the random identifier of the claim.

Seen failing with numbers from the token: part_does_not_get_the_cached_answer_of_a_part_of_another_owner_with_the_same_token, `left: [], right: [("t-0", Run {..., index: 1 })]`: the part was answered without a start.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -44,10 +44,6 @@
 /// Interval of [`Dispatcher::tick`] while the dispatcher has no jobs.
 const IDLE_TICK_INTERVAL_MS: u64 = 100;
 
-/// Size of the range of part numbers that belongs to one token; the ranges of consecutive
-/// tokens are adjacent, so more parts under one token would reuse the numbers of the next.
-const MAX_PARTS_PER_TOKEN: u64 = 1_024;
-
 /// The owner of a zone's targets: runs the zone's [`Dispatcher`] and carries out its actions.
 pub(crate) struct Owner {
     shared: Arc<Shared>,
@@ -113,8 +109,7 @@
     pub(crate) fn spawn(shared: Arc<Shared>, token: u64) -> Arc<Self> {
         let claim = Claim { id: ClaimId(rand::random()), token };
         let run_times = shared.run_times.lock().clone();
-        let dispatcher =
-            Dispatcher::new(run_times, token, token * MAX_PARTS_PER_TOKEN, shared.now_ms());
+        let dispatcher = Dispatcher::new(run_times, claim, shared.now_ms());
         let client = TargetClient::new(Arc::clone(&shared.http));
         let state = State {
             dispatcher,
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
+    Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
     TargetInfo, TargetLosses, TargetRun,
     dispatcher::{
         job_state::{JobPhase, JobState},
@@ -105,12 +105,11 @@
 impl Dispatcher {
     /// Returns a dispatcher that takes over at `now_ms` and has no targets yet.
     ///
-    /// `token` is the fencing token of its owner. Parts offloaded to other zones are numbered from
-    /// `first_part`. No two dispatchers may use the same numbers, since other zones cache answers under
-    /// them.
-    pub const fn new(run_times: RunTimes, token: u64, first_part: u64, now_ms: u64) -> Self {
+    /// Parts offloaded to other zones are numbered from the identifier of the claim. No two
+    /// dispatchers may use the same numbers, since other zones cache answers under them.
+    pub const fn new(run_times: RunTimes, claim: Claim, now_ms: u64) -> Self {
         Dispatcher {
-            token,
+            token: claim.token,
             took_over_at_ms: now_ms,
             last_event_at_ms: now_ms,
             resync_since_ms: None,
@@ -127,7 +126,7 @@
             average_cpu_milli: 0,
             remote_zones: Vec::new(),
             offloaded_parts: Vec::new(),
-            next_part: first_part,
+            next_part: claim.id.0,
             lost_runs: 0,
             target_losses: TargetLosses::new(),
         }
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -3,10 +3,10 @@
 pub use std::sync::Arc;
 
 pub use ggb_placement::{
-    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, ClaimId, Dispatcher, EarlierRuns, JobAnswer,
-    JobId, LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome, QueueRules,
-    RefusalReason, RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec, Submission,
-    TargetInfo,
+    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, Claim, ClaimId, Dispatcher, EarlierRuns,
+    JobAnswer, JobId, LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome,
+    QueueRules, RefusalReason, RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec,
+    Submission, TargetInfo,
 };
 
 /// Time after which a caller stops waiting.
@@ -39,8 +39,13 @@
 
     /// Returns a dispatcher that has just taken over and has received no listing.
     pub fn after_takeover(cores: &[u64]) -> Self {
+        Harness::after_claim(Claim { id: ClaimId(0), token: TOKEN }, cores)
+    }
+
+    /// Returns a dispatcher that has just taken over under `claim` and has received no listing.
+    pub fn after_claim(claim: Claim, cores: &[u64]) -> Self {
         let now_ms = 1_000;
-        let mut dispatcher = Dispatcher::new(RunTimes::default(), TOKEN, 0, now_ms);
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), claim, now_ms);
         for (index, cores) in cores.iter().enumerate() {
             dispatcher.upsert_target(target(index, *cores));
         }
--- a/crates/placement/tests/offload.rs
+++ b/crates/placement/tests/offload.rs
@@ -128,6 +128,30 @@
         assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(1, 1))]);
     }
 
+    // Another owner of the zone has nothing but its claim in which it differs for sure.
+    part_does_not_get_the_cached_answer_of_a_part_of_another_owner_with_the_same_token(
+        harness: [16]
+    ) {
+        let part_of = |id, done| {
+            let mut owner = Harness::after_claim(Claim { id: ClaimId(id), token: TOKEN }, &[]);
+            owner.dispatcher.upsert_remote_target(remote_target("b", 32));
+            owner.report_capacity("b", 5);
+            owner.advance(1_500);
+            owner.report_capacity("b", 5);
+            owner.submit(Submission { excluded_tasks: vec![(0, done)], ..job(JOB, vec![step(2)]) });
+            let parts = owner.take_actions().into_iter().filter_map(|action| match action {
+                Action::OffloadPart { submission, .. } => Some(submission),
+                _ => None,
+            });
+            parts.last().expect("the task is offloaded")
+        };
+        harness.submit(part_of(7, 1));
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        harness.take_actions();
+        harness.submit(part_of(1 << 40, 0));
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(1, 1))]);
+    }
+
     whole_job_is_not_attached_to_a_part_of_it(harness: [16]) {
         let part = Submission {
             part: Some(3),
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -10,8 +10,8 @@
 
 use ggb_model::Zone;
 use ggb_placement::{
-    BatchJob, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, QueueRules,
-    RequestId, RoutedJob, RunTimes, StepSpec, Submission, TargetInfo,
+    BatchJob, CALLER_EXPIRY_MS, Capacity, Claim, ClaimId, Dispatcher, EarlierRuns, JobAnswer,
+    JobId, QueueRules, RequestId, RoutedJob, RunTimes, StepSpec, Submission, TargetInfo,
 };
 use ggb_standin::{SimulatedTarget, SimulatedWork};
 use rand::{Rng as _, SeedableRng as _};
@@ -214,8 +214,8 @@
     fn take_over_with_lag(&mut self, zone: usize, lag_ms: u64) -> usize {
         let owner_index = self.owners.len();
         let token = (owner_index as u64 + 1) * 1_000;
-        let first_part = owner_index as u64 * 10_000;
-        let mut dispatcher = Dispatcher::new(RunTimes::default(), token, first_part, self.now_ms);
+        let claim = Claim { id: ClaimId(owner_index as u64 * 10_000), token };
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), claim, self.now_ms);
         let targets: Vec<usize> =
             (0..self.targets.len()).filter(|index| self.targets[*index].zone == zone).collect();
         for target_index in &targets {
