Count the lease of a target from the last sign of another owner

Callers could see a task run twice: an owner counts the lease of a target from its own messages. While another owner is alive, that one renews the lease too. If the first has just started a run beside orphaned runs (it renews nothing then) or on a target that restarted, and loses contact, it took the run for lapsed up to 900 ms too early and started the task elsewhere.

A listing that shows a run that this owner did not start, or a restart of the target, counts like the first listing after a takeover: another owner may have renewed the lease immediately before.

Seen failing without the change: run_beside_those_of_another_owner_is_not_taken_for_lapsed_too_early and run_on_a_restarted_target_is_not_taken_for_lapsed_too_early, `left: [("t-1", Run {..., number: 2 })], right: []`.

--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -459,8 +459,8 @@
             Some(last) if listing.clock_ms < last.clock_ms => return ended,
             _ => {}
         }
-        if !self.has_current_listing() {
-            // An earlier dispatcher may have renewed the lease immediately before.
+        if !self.has_current_listing() || self.shows_another_owner(listing) {
+            // Another dispatcher may have renewed the lease immediately before.
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
@@ -477,6 +477,14 @@
         ended
     }
 
+    /// Returns whether the target may have obeyed another dispatcher since the last listing: it has
+    /// restarted, or lists a run that is not known here.
+    fn shows_another_owner(&self, listing: &Listing) -> bool {
+        let is_known = |run: Run| self.runs.iter().any(|target_run| target_run.run == run);
+        self.clock.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
+            || listing.running.iter().any(|listed| !is_known(listed.run))
+    }
+
     /// Updates the clock from an answer that contains no listing.
     pub const fn update_clock(&mut self, clock_ms: u64, now_ms: u64) {
         if let Some(last) = &mut self.clock
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -325,6 +325,38 @@
         assert_eq!(token_of_release(&mut harness), Some(TOKEN + 1));
     }
 
+    // The owner that started the orphaned run may have renewed the lease after this one, which does not
+    // renew it beside orphaned runs.
+    run_beside_those_of_another_owner_is_not_taken_for_lapsed_too_early(harness: [30, 48]) {
+        harness.advance(1_000);
+        let orphan = Run { task: "00000000000000cc.0.0.0".parse().unwrap(), number: 1 };
+        harness.apply_listing(0, &[(orphan, 10)], &[]);
+        let listed_at_ms = harness.now_ms;
+        harness.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![long_step()]) });
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Unanswered);
+        harness.dispatcher.set_target_reachable("t-0", false, harness.now_ms);
+        harness.advance(LEASE_EXPIRY_MS - (harness.now_ms - listed_at_ms) - 50);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(100);
+        assert_eq!(harness.take_starts(), [("t-1".to_owned(), run(0, 2))]);
+    }
+
+    // The restarted target obeys an earlier owner until the first message of this one.
+    run_on_a_restarted_target_is_not_taken_for_lapsed_too_early(harness: [16, 48]) {
+        harness.advance(1_000);
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        let listed_at_ms = harness.now_ms;
+        harness.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![long_step()]) });
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Unanswered);
+        harness.dispatcher.set_target_reachable("t-0", false, harness.now_ms);
+        harness.advance(LEASE_EXPIRY_MS - (harness.now_ms - listed_at_ms) - 50);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(100);
+        assert_eq!(harness.take_starts(), [("t-1".to_owned(), run(0, 2))]);
+    }
+
     // The caller may return to a process that knows nothing of the run.
     lease_ends_before_the_caller_of_a_run_returns(harness: [16]) {
         harness.submit(job(JOB, vec![step(1)]));
