Simulate two owners of a zone that don't hear each other

The simulation had one owner per zone at a time, or a slow former one, so that it could not show the incident. Two cases now have a second owner for up to 3 s, with callers at either, until one releases its jobs to the other: with different tokens, where each reaches every other target, and with the same token, where targets obey both. A surviving owner that targets fence is replaced after the usual delay, and owners take submissions with their claim as a process does.

--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -207,6 +207,31 @@
     submit_random_jobs(sim, 3_000, 0);
 });
 
+/// Has two owners of zone 0, which don't hear each other, active for up to 3 s. Then either of them
+/// releases its jobs to the other.
+fn run_rival_owners(sim: &mut Simulation, token: u64, is_split: bool) {
+    submit_random_jobs(sim, 500, 0);
+    sim.add_rival_owner(0, token, is_split);
+    let duration_ms = 500 + sim.random_below(2_500);
+    submit_random_jobs(sim, duration_ms, 0);
+    let releases_rival = sim.random_below(2) == 0;
+    sim.release_one_rival(releases_rival);
+    submit_random_jobs(sim, 1_500, 0);
+}
+
+// Each owner is obeyed by the targets that it reaches, and releases jobs with runs on targets that the
+// other one does not reach yet. The first owner has the token 1,000.
+case!(job_of_an_owner_that_reached_other_targets_is_not_started_twice, 0..40, |sim| {
+    let token = if sim.random_below(2) == 0 { 500 } else { 4_500 };
+    run_rival_owners(sim, token, true);
+});
+
+// Targets obey both.
+case!(job_of_an_owner_with_the_same_token_is_not_started_twice, 0..40, |sim| {
+    let token = sim.token_of_owner(0).unwrap_or_default();
+    run_rival_owners(sim, token, false);
+});
+
 fn combine_all_faults(sim: &mut Simulation) {
     sim.faults = Faults { lost: 15, late: 15, unanswered: 15 };
     for _ in 0..12 {
--- a/crates/placement/tests/simulation/disruptions.rs
+++ b/crates/placement/tests/simulation/disruptions.rs
@@ -1,6 +1,6 @@
 //! Disruptions of owners, zones and targets that tests cause.
 
-use super::{Simulation, TAKEOVER_DELAY_MS};
+use super::{Rivalry, Simulation, TAKEOVER_DELAY_MS};
 
 impl Simulation {
     /// Partitions a zone from the others for `duration_ms`.
@@ -68,6 +68,28 @@
         self.supersede_owner(owner_index);
     }
 
+    /// Starts a second owner of a zone under `token`, beside the current one, and sends the jobs of
+    /// every other caller to it. If `is_split`, each of the two reaches only every other target.
+    pub fn add_rival_owner(&mut self, zone: usize, token: u64, is_split: bool) {
+        let rival = self.owners.len();
+        self.rivalry = Some(Rivalry { zone, rival, is_split });
+        self.add_owner(zone, token, 0);
+    }
+
+    /// Returns the token of the current owner of a zone.
+    pub fn token_of_owner(&self, zone: usize) -> Option<u64> {
+        Some(self.owners[self.current_owners[zone]?].claim.token)
+    }
+
+    /// Makes one of two rival owners release its jobs to the other, which then reaches all targets.
+    pub fn release_one_rival(&mut self, releases_rival: bool) {
+        let Some(Rivalry { zone, rival, .. }) = self.rivalry else { return };
+        let released = if releases_rival { Some(rival) } else { self.current_owners[zone] };
+        if let Some(released) = released {
+            self.supersede_owner(released);
+        }
+    }
+
     /// Crashes and restarts a target.
     pub fn crash_target(&mut self, target_index: usize) {
         let now_ms = self.now_ms;
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -9,7 +9,8 @@
 use rand::Rng as _;
 
 use super::{
-    INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Offloaded, Simulation, Waiter, zone_name,
+    INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Offloaded, Simulation, TAKEOVER_DELAY_MS, Waiter,
+    zone_name,
 };
 
 /// Maximum time for which a target delays a listing.
@@ -45,7 +46,7 @@
                 && target_index.is_multiple_of(2)
                 && owner_index >= first_owner
         });
-        if is_cut_off {
+        if is_cut_off || self.is_split_off(owner_index, target_index) {
             return Delivery::Lost;
         }
         let Faults { lost, late, unanswered } = self.faults;
@@ -58,6 +59,15 @@
         }
     }
 
+    /// Returns whether only the rival of an owner reaches a target.
+    fn is_split_off(&self, owner_index: usize, target_index: usize) -> bool {
+        let split = self
+            .rivalry
+            .filter(|rivalry| rivalry.is_split && rivalry.zone == self.targets[target_index].zone);
+        split
+            .is_some_and(|rivalry| (owner_index == rivalry.rival) == target_index.is_multiple_of(2))
+    }
+
     /// Executes the pending actions of a dispatcher.
     pub(super) fn execute_actions(&mut self, owner_index: usize) {
         for action in self.owners[owner_index].dispatcher.take_actions() {
@@ -113,7 +123,7 @@
         valid_until_clock_ms: u64,
     ) {
         let delivery = self.draw_delivery(owner_index, target_index);
-        let token = self.owners[owner_index].token + token_offset;
+        let token = self.owners[owner_index].claim.token + token_offset;
         let start = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
             let work = sim.work_of(run);
@@ -162,7 +172,7 @@
             Delivery::Late(delay_ms) => delay_ms,
             Delivery::Delivered | Delivery::Unanswered => INTRA_ZONE_LATENCY_MS,
         };
-        let token = self.owners[owner_index].token + token_offset;
+        let token = self.owners[owner_index].claim.token + token_offset;
         self.schedule_after(delay_ms, move |sim| {
             let now_ms = sim.now_ms;
             sim.targets[target_index].simulated.stop(token, run, now_ms);
@@ -192,7 +202,7 @@
         let ListingRequest { token_offset, ack_cursor, lease_until_clock_ms, may_wait, .. } =
             request;
         let wait_ms = if may_wait { wait_ms } else { 0 };
-        let token = self.owners[owner_index].token + token_offset;
+        let token = self.owners[owner_index].claim.token + token_offset;
         let delivery = self.draw_delivery(owner_index, target_index);
         let deliver_request = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
@@ -311,6 +321,14 @@
     }
 
     pub(super) fn supersede_owner(&mut self, owner_index: usize) {
+        let zone = self.owners[owner_index].zone;
+        let rivalry = self.rivalry.take_if(|rivalry| rivalry.zone == zone);
+        if self.current_owners[zone] == Some(owner_index) {
+            self.current_owners[zone] = rivalry.map(|rivalry| rivalry.rival);
+            if rivalry.is_none() {
+                self.schedule_after(TAKEOVER_DELAY_MS, move |sim| sim.take_over(zone));
+            }
+        }
         self.owners[owner_index].is_alive = false;
         self.owners[owner_index].dispatcher.step_down();
         self.execute_actions(owner_index);
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -53,7 +53,7 @@
 /// A process that owns, or owned, the targets of a zone.
 struct Owner {
     zone: usize,
-    token: u64,
+    claim: Claim,
     dispatcher: Dispatcher,
     waiters: Vec<(RequestId, Waiter)>,
     /// Parts submitted to other owners.
@@ -108,6 +108,15 @@
     }
 }
 
+/// A second owner of a zone, which does not know of the current one.
+#[derive(Clone, Copy)]
+struct Rivalry {
+    zone: usize,
+    rival: usize,
+    /// Whether each of the two reaches only every other target.
+    is_split: bool,
+}
+
 /// State of the simulation.
 pub struct Simulation {
     pub now_ms: u64,
@@ -119,6 +128,7 @@
     owners: Vec<Owner>,
     /// The current owner of each zone.
     current_owners: Vec<Option<usize>>,
+    rivalry: Option<Rivalry>,
     targets: Vec<ZoneTarget>,
     partitioned_zone: Option<usize>,
     /// Zone of which every other target is unreachable for owners from an index on, and that index.
@@ -154,6 +164,7 @@
             next_event_number: 0,
             owners: Vec::new(),
             current_owners: vec![None; zones],
+            rivalry: None,
             targets: Vec::new(),
             partitioned_zone: None,
             cut_off_targets: None,
@@ -212,8 +223,15 @@
 
     /// Starts an owner of a zone that lags by `lag_ms`. Returns its index.
     fn take_over_with_lag(&mut self, zone: usize, lag_ms: u64) -> usize {
+        let token = (self.owners.len() as u64 + 1) * 1_000;
+        let owner_index = self.add_owner(zone, token, lag_ms);
+        self.current_owners[zone] = Some(owner_index);
+        owner_index
+    }
+
+    /// Starts an owner of a zone under `token`. Returns its index.
+    fn add_owner(&mut self, zone: usize, token: u64, lag_ms: u64) -> usize {
         let owner_index = self.owners.len();
-        let token = (owner_index as u64 + 1) * 1_000;
         let claim = Claim { id: ClaimId(owner_index as u64 * 10_000), token };
         let mut dispatcher = Dispatcher::new(RunTimes::default(), claim, self.now_ms);
         let targets: Vec<usize> =
@@ -223,7 +241,7 @@
         }
         self.owners.push(Owner {
             zone,
-            token,
+            claim,
             dispatcher,
             waiters: Vec::new(),
             offloaded: Vec::new(),
@@ -232,7 +250,6 @@
             frozen_until_ms: 0,
             lag_ms,
         });
-        self.current_owners[zone] = Some(owner_index);
         for target_index in targets {
             self.poll_target(owner_index, target_index, 0);
         }
@@ -503,10 +520,20 @@
         });
     }
 
+    /// Returns the owner that the entry process of a caller knows.
+    fn owner_for(&self, caller_index: usize, zone: usize) -> Option<usize> {
+        match self.rivalry {
+            Some(rivalry) if rivalry.zone == zone && !caller_index.is_multiple_of(2) => {
+                Some(rivalry.rival)
+            }
+            _ => self.current_owners[zone],
+        }
+    }
+
     /// Submits a job to the owner of a zone, once there is one.
     fn send_to_owner(&mut self, caller_index: usize, zone: usize) {
         let connection = self.callers[caller_index].connection;
-        let Some(owner_index) = self.current_owners[zone] else {
+        let Some(owner_index) = self.owner_for(caller_index, zone) else {
             self.schedule_after(20, move |sim| {
                 if sim.callers[caller_index].is_waiting_on(connection) {
                     sim.send_to_owner(caller_index, zone);
@@ -540,6 +567,7 @@
         let request = RequestId(owner.next_request);
         owner.next_request += 1;
         owner.waiters.push((request, waiter));
+        let submission = submission.received_by(owner.claim);
         owner.dispatcher.submit(submission, request, self.now_ms);
         self.execute_actions(owner_index);
         request
