--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -14,8 +14,8 @@
 use ggb_adapter::{ListingReply, StartReply, TargetClient};
 use ggb_model::{Zone, token_after_restarts};
 use ggb_placement::{
-    Action, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load, PartOutcome,
-    RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
+    Action, Claim, ClaimId, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load,
+    PartOutcome, RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -44,16 +44,11 @@
 /// Interval of [`Dispatcher::tick`] while the dispatcher has no jobs.
 const IDLE_TICK_INTERVAL_MS: u64 = 100;
 
-/// Size of the range of part numbers that belongs to one token; the ranges of consecutive
-/// tokens are adjacent, so more parts under one token would reuse the numbers of the next.
-const MAX_PARTS_PER_TOKEN: u64 = 1_024;
-
 /// The owner of a zone's targets: runs the zone's [`Dispatcher`] and carries out its actions.
 pub(crate) struct Owner {
     shared: Arc<Shared>,
     client: TargetClient,
-    /// The fencing token of this owner's claim.
-    token: u64,
+    claim: Claim,
     state: Mutex<State>,
     stopped: AtomicBool,
 }
@@ -69,7 +64,12 @@
 
 /// Returns the answer to a job whose owner stopped without reporting which tasks it started.
 fn moved_answer() -> JobAnswer {
-    JobAnswer::Moved { done: Vec::new(), earlier_runs: EarlierRuns::AnyZone, run_targets: None }
+    JobAnswer::Moved {
+        done: Vec::new(),
+        earlier_runs: EarlierRuns::AnyZone,
+        run_targets: None,
+        token: None,
+    }
 }
 
 /// A request to a target to start a run.
@@ -107,8 +107,9 @@
 impl Owner {
     /// Starts an owner that dispatches under the fencing token `token`.
     pub(crate) fn spawn(shared: Arc<Shared>, token: u64) -> Arc<Self> {
+        let claim = Claim { id: ClaimId(rand::random()), token };
         let run_times = shared.run_times.lock().clone();
-        let dispatcher = Dispatcher::new(run_times, token * MAX_PARTS_PER_TOKEN, shared.now_ms());
+        let dispatcher = Dispatcher::new(run_times, claim, shared.now_ms());
         let client = TargetClient::new(Arc::clone(&shared.http));
         let state = State {
             dispatcher,
@@ -120,7 +121,7 @@
         let owner = Arc::new(Owner {
             shared,
             client,
-            token,
+            claim,
             state: Mutex::new(state),
             stopped: AtomicBool::new(false),
         });
@@ -196,7 +197,7 @@
             request
         };
         let pending_job = PendingJob { owner: Arc::clone(self), request, answer };
-        let submission = submission.received_by(self.token);
+        let submission = submission.received_by(self.claim);
         let may_have_started =
             submission.part.is_some() && submission.earlier_runs != EarlierRuns::None;
         let is_stopped = self.stopped.load(Ordering::Relaxed);
@@ -233,9 +234,9 @@
         self.update(|dispatcher, now_ms| dispatcher.apply_part_outcome(part, outcome, now_ms));
     }
 
-    /// Returns the fencing token of this owner's claim.
-    pub(crate) const fn token(&self) -> u64 {
-        self.token
+    /// Returns the identifier of this owner's claim.
+    pub(crate) const fn claim_id(&self) -> ClaimId {
+        self.claim.id
     }
 
     pub(crate) const fn shared(&self) -> &Arc<Shared> {
@@ -333,7 +334,7 @@
     async fn send_start(self: Arc<Self>, request: StartRequest) {
         let StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset } = request;
         let reply = self.client.start(
-            token_after_restarts(self.token, token_offset),
+            token_after_restarts(self.claim.token, token_offset),
             (&target, addr),
             run,
             &spec,
@@ -357,7 +358,7 @@
         run: Run,
         token_offset: u64,
     ) {
-        let token = token_after_restarts(self.token, token_offset);
+        let token = token_after_restarts(self.claim.token, token_offset);
         let answered = self.client.stop(token, (&target, addr), run, REQUEST_TIMEOUT_MS).await;
         let outcome = if answered { "answered" } else { "unanswered" };
         self.shared.metrics.target_requests.with_label_values(&["stop", outcome]).inc();
@@ -399,7 +400,7 @@
         let wait_ms = if may_wait { wait_ms } else { 0 };
         let requested_at_ms = self.shared.now_ms();
         let reply = self.client.fetch_listing(
-            token_after_restarts(self.token, token_offset),
+            token_after_restarts(self.claim.token, token_offset),
             (target, addr),
             ack_cursor,
             lease_until_clock_ms,
@@ -461,7 +462,7 @@
         if self.stopped.load(Ordering::Relaxed) {
             return;
         }
-        let token = self.token;
+        let token = self.claim.token;
         self.shared.metrics.fenced_claims.inc();
         log_event!(
             warn,
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -81,7 +81,7 @@
         }
         // An owner held the job, but the job is no longer known here: its tasks ran and were
         // stopped when the entry process stopped asking for it.
-        if submission.holder_token.is_some() {
+        if submission.holder.is_some() {
             if submission.part.is_some() {
                 self.actions.push(Action::Answer { request, answer: JobAnswer::Unknown });
                 return;
@@ -111,6 +111,7 @@
                     return;
                 }
                 self.adopt_listed_runs(id, now_ms);
+                self.request_awaited_listings(now_ms);
                 self.place_tasks(now_ms);
             }
             Err((reason, retry_after_ms)) => {
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -143,6 +143,11 @@
         self.clock.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
     }
 
+    /// Returns whether a listing has arrived that was requested at `since_ms` or later.
+    pub const fn has_listing_since(&self, since_ms: u64) -> bool {
+        self.has_current_listing() && self.last_listing_requested_at_ms >= since_ms
+    }
+
     /// Records that a listing request failed after `took_ms`, where `timeout_ms` is its limit.
     ///
     /// A request that fails later than its limit shows that this process is slow, not that the
@@ -157,8 +162,8 @@
         self.silent && self.clock.is_none()
     }
 
-    /// Returns the number of restarts of the target that this process has seen, which is added to
-    /// the owner's token in requests to the current incarnation.
+    /// Returns the number of restarts of the target that this process has seen, which raises the
+    /// owner's token in requests to the current incarnation, see [`ggb_model::token_after_restarts`].
     ///
     /// After a restart a target has no token and a new clock, so that it would execute requests
     /// that were meant for its previous incarnation; a higher token makes it reject them.
@@ -454,8 +459,8 @@
             Some(last) if listing.clock_ms < last.clock_ms => return ended,
             _ => {}
         }
-        if !self.has_current_listing() {
-            // An earlier dispatcher may have renewed the lease immediately before.
+        if !self.has_current_listing() || self.shows_another_owner(listing) {
+            // Another dispatcher may have renewed the lease immediately before.
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
@@ -472,6 +477,14 @@
         ended
     }
 
+    /// Returns whether the target may have obeyed another dispatcher since the last listing: it has
+    /// restarted, or lists a run that is not known here.
+    fn shows_another_owner(&self, listing: &Listing) -> bool {
+        let is_known = |run: Run| self.runs.iter().any(|target_run| target_run.run == run);
+        self.clock.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
+            || listing.running.iter().any(|listed| !is_known(listed.run))
+    }
+
     /// Updates the clock from an answer that contains no listing.
     pub const fn update_clock(&mut self, clock_ms: u64, now_ms: u64) {
         if let Some(last) = &mut self.clock
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -3,15 +3,18 @@
 pub use std::sync::Arc;
 
 pub use ggb_placement::{
-    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId,
-    LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome, QueueRules,
-    RefusalReason, RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec, Submission,
-    TargetInfo,
+    Action, BatchJob, CALLER_EXPIRY_MS, Capacity, Claim, ClaimId, Dispatcher, EarlierRuns,
+    JobAnswer, JobId, LEASE_EXPIRY_MS, ListedEnd, ListedRun, Listing, MAX_LEASE_MS, PartOutcome,
+    QueueRules, RefusalReason, RequestId, RoutedJob, Run, RunEnd, RunTimes, StartOutcome, StepSpec,
+    Submission, TargetInfo,
 };
 
 /// Time after which a caller stops waiting.
 pub const DEADLINE_MS: u64 = 1_500;
 
+/// Fencing token of the owner.
+pub const TOKEN: u64 = 5_000;
+
 pub const JOB: &str = "00000000000000aa";
 
 /// A dispatcher with a simulated clock; the test reports what its targets do.
@@ -36,8 +39,13 @@
 
     /// Returns a dispatcher that has just taken over and has received no listing.
     pub fn after_takeover(cores: &[u64]) -> Self {
+        Harness::after_claim(Claim { id: ClaimId(0), token: TOKEN }, cores)
+    }
+
+    /// Returns a dispatcher that has just taken over under `claim` and has received no listing.
+    pub fn after_claim(claim: Claim, cores: &[u64]) -> Self {
         let now_ms = 1_000;
-        let mut dispatcher = Dispatcher::new(RunTimes::default(), 0, now_ms);
+        let mut dispatcher = Dispatcher::new(RunTimes::default(), claim, now_ms);
         for (index, cores) in cores.iter().enumerate() {
             dispatcher.upsert_target(target(index, *cores));
         }
@@ -134,6 +142,15 @@
         starts.collect()
     }
 
+    /// Takes the pending actions and returns the targets that are asked for a listing.
+    pub fn take_listing_requests(&mut self) -> Vec<String> {
+        let requests = self.take_actions().into_iter().filter_map(|action| match action {
+            Action::RequestListing { target } => Some(target.to_string()),
+            _ => None,
+        });
+        requests.collect()
+    }
+
     pub fn take_stops(&mut self) -> Vec<Run> {
         let stops = self.take_actions().into_iter().filter_map(|action| match action {
             Action::Stop { run, .. } => Some(run),
@@ -242,9 +259,10 @@
         },
         earlier_runs: EarlierRuns::None,
         run_targets: None,
+        released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
-        holder_token: None,
+        holder: None,
         waited_ms: 0,
         deadline_ms: DEADLINE_MS,
         caller_check_age_ms: 0,
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, unused_imports, reason = "the other tests use the rest")]
 mod harness;
 
+use ggb_model::token_after_restarts;
 use harness::*;
 
 /// Returns a step of one task that may wait long enough for the lease of a target to expire.
@@ -15,7 +16,7 @@
 fn moved_job(run_targets: &[&str]) -> Submission {
     let mut routed_job = RoutedJob::new(job(JOB, vec![step(1)]));
     let run_targets = run_targets.iter().map(|id| Arc::from(*id)).collect();
-    routed_job.mark_moved(vec![], EarlierRuns::OwnZone, Some(run_targets));
+    routed_job.mark_moved(vec![], EarlierRuns::OwnZone, Some(run_targets), None);
     Submission { deadline_ms: 9_000, ..routed_job.submission().clone() }
 }
 
@@ -235,12 +236,57 @@
 
     job_starts_once_the_targets_of_its_runs_are_listed(harness: [16]) {
         let mut new_owner = Harness::after_takeover(&[16, 16]);
-        new_owner.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Failed)]);
         new_owner.submit(moved_job(&["t-0"]));
+        new_owner.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Failed)]);
         assert_eq!(new_owner.take_starts().len(), 1);
         assert_eq!(harness.take_answers(), []);
     }
 
+    // Targets obey both owners in turn if their tokens are equal, or if they have restarted.
+    job_is_not_started_again_on_a_listing_from_before_its_release(harness: [16, 16]) {
+        let listed_at_ms = harness.now_ms;
+        harness.advance(20);
+        harness.submit(moved_job(&["t-1"]));
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_empty_listing(listed_at_ms, 1);
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_listing(1, &[(run(0, 1), 30)], &[]);
+        assert_eq!(harness.take_starts(), []);
+        harness.apply_listing(1, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        assert_eq!(harness.take_answers(), [JobAnswer::Completed]);
+    }
+
+    released_job_waits_for_one_round_trip_to_the_targets_of_its_runs(harness: [16, 16]) {
+        harness.submit(moved_job(&["t-0", "t-1"]));
+        let released_at_ms = harness.now_ms;
+        assert_eq!(harness.take_listing_requests(), ["t-0", "t-1"]);
+        harness.apply_empty_listing(released_at_ms, 0);
+        assert_eq!(harness.take_starts(), []);
+        harness.now_ms += 2;
+        harness.apply_empty_listing(released_at_ms, 1);
+        assert_eq!(harness.take_starts().len(), 1);
+        assert_eq!(harness.now_ms - released_at_ms, 2);
+    }
+
+    // An extra listing may have been requested shortly before for another reason.
+    listings_for_a_released_job_are_not_put_off(harness: [16]) {
+        harness.submit(moved_job(&["t-0"]));
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+        harness.now_ms += 2;
+        harness.submit(Submission { job: job("00000000000000bb", vec![step(1)]).job, ..moved_job(&["t-0"]) });
+        harness.advance(5);
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+    }
+
+    lost_listing_for_a_released_job_is_requested_again(harness: [16]) {
+        harness.submit(moved_job(&["t-0"]));
+        harness.take_actions();
+        harness.advance(95);
+        assert_eq!(harness.take_listing_requests(), [""; 0]);
+        harness.advance(5);
+        assert_eq!(harness.take_listing_requests(), ["t-0"]);
+    }
+
     // Another thread may submit a job while the owner steps down; the next owner starts it.
     job_submitted_after_the_release_is_not_taken(harness: [16]) {
         harness.dispatcher.step_down();
@@ -265,6 +311,53 @@
         assert_eq!(run_targets.collect::<Vec<_>>(), expected.map(Some));
     }
 
+    // Requests to a target that has restarted carry higher tokens than the claim.
+    released_job_reports_the_highest_token_of_requests_to_targets(harness: [16, 16]) {
+        let token_of_release = |harness: &mut Harness| {
+            harness.submit(job(JOB, vec![step(1)]));
+            harness.dispatcher.step_down();
+            match &harness.take_answers()[..] {
+                [JobAnswer::Moved { token, .. }] => *token,
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!(token_of_release(&mut Harness::new(&[16])), Some(TOKEN));
+        harness.apply_listing_of_incarnation(2, 1, &[], &[]);
+        assert_eq!(token_of_release(&mut harness), Some(token_after_restarts(TOKEN, 1)));
+    }
+
+    // The owner that started the orphaned run may have renewed the lease after this one, which does not
+    // renew it beside orphaned runs.
+    run_beside_those_of_another_owner_is_not_taken_for_lapsed_too_early(harness: [30, 48]) {
+        harness.advance(1_000);
+        let orphan = Run { task: "00000000000000cc.0.0.0".parse().unwrap(), number: 1 };
+        harness.apply_listing(0, &[(orphan, 10)], &[]);
+        let listed_at_ms = harness.now_ms;
+        harness.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![long_step()]) });
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Unanswered);
+        harness.dispatcher.set_target_reachable("t-0", false, harness.now_ms);
+        harness.advance(LEASE_EXPIRY_MS - (harness.now_ms - listed_at_ms) - 50);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(100);
+        assert_eq!(harness.take_starts(), [("t-1".to_owned(), run(0, 2))]);
+    }
+
+    // The restarted target obeys an earlier owner until the first message of this one.
+    run_on_a_restarted_target_is_not_taken_for_lapsed_too_early(harness: [16, 48]) {
+        harness.advance(1_000);
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        let listed_at_ms = harness.now_ms;
+        harness.submit(Submission { deadline_ms: 9_000, ..job(JOB, vec![long_step()]) });
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+        harness.apply_start_outcome(0, run(0, 1), StartOutcome::Unanswered);
+        harness.dispatcher.set_target_reachable("t-0", false, harness.now_ms);
+        harness.advance(LEASE_EXPIRY_MS - (harness.now_ms - listed_at_ms) - 50);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(100);
+        assert_eq!(harness.take_starts(), [("t-1".to_owned(), run(0, 2))]);
+    }
+
     // The caller may return to a process that knows nothing of the run.
     lease_ends_before_the_caller_of_a_run_returns(harness: [16]) {
         harness.submit(job(JOB, vec![step(1)]));
