Tell the runs of one request from those of the next in the soak's check

No process logged the job before the caller sent it again 1.3 s later, so nothing had run; the check took the runs of the second request for those of the first, since it asked only whether the job had any run at all.

A run now counts for a request if it started before the next request was sent and ended after this one was. So a run that a second request joins still counts for both, and one that starts between the end of a connection and the next request still counts for the former. What no longer counts: a run that ended before the request was sent, and one that started after the next was sent.

checker_cases.rs tests the check itself: the two false alarms failed before (`assertion left == right failed, left: 1, right: 0`, for runs_of_the_second_request_are_not_lost_with_the_first and run_that_ended_before_the_second_request_is_not_lost_with_it); the eight cases of a real loss, or of none, passed before and after.

--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -8,6 +8,8 @@
 mod callers;
 #[path = "soak/checker.rs"]
 mod checker;
+#[path = "soak/checker_cases.rs"]
+mod checker_cases;
 #[allow(dead_code, reason = "the tests of single faults use the rest")]
 mod fleet;
 #[path = "soak/plan.rs"]
--- a/crates/greengagebeam/tests/soak/callers.rs
+++ b/crates/greengagebeam/tests/soak/callers.rs
@@ -7,6 +7,7 @@
 };
 
 use async_std::task;
+use ggb_control::unix_time_ms;
 use ggb_http::{ClientOptions, HttpClient, Sent};
 use ggb_standin::RunSpec;
 use http_types::{Method, StatusCode};
@@ -66,6 +67,8 @@
     pub node: usize,
     /// Time since the soak started.
     pub sent_at_ms: u64,
+    /// Time of sending in the records of runs, in ms since 1970.
+    pub sent_unix_ms: u64,
     pub took_ms: u64,
     pub end: RequestEnd,
 }
@@ -158,7 +161,7 @@
     job: &CallerJob,
     started_at: Instant,
 ) -> JobRequest {
-    let sent_at_ms = elapsed_ms(started_at);
+    let (sent_at_ms, sent_unix_ms) = (elapsed_ms(started_at), unix_time_ms());
     let path = format!("{PATH_PREFIX}{}", job.id);
     let deadline_ms = DEADLINE_MS.to_string();
     let headers = [("Host", HOST), ("Greengagebeam-Deadline-Ms", deadline_ms.as_str())];
@@ -173,7 +176,8 @@
             Sent::Maybe => RequestEnd::ConnectionLost,
         },
     };
-    JobRequest { node, sent_at_ms, took_ms: elapsed_ms(started_at) - sent_at_ms, end }
+    let took_ms = elapsed_ms(started_at) - sent_at_ms;
+    JobRequest { node, sent_at_ms, sent_unix_ms, took_ms, end }
 }
 
 /// Submits a small job to a node; returns whether the node completed it.
--- a/crates/greengagebeam/tests/soak/checker.rs
+++ b/crates/greengagebeam/tests/soak/checker.rs
@@ -68,9 +68,13 @@
         !before.all(|task| is_done(*task))
     };
     // A request that is sent while its connection closes may get no response, but only if the
-    // connection ends within MAX_CLOSING_RACE_MS and no task was run.
-    let lost_response = job.requests.iter().any(|request| {
-        let is_outside_closing_race = request.took_ms > MAX_CLOSING_RACE_MS || !records.is_empty();
+    // connection ends within MAX_CLOSING_RACE_MS and no task was run for it.
+    let lost_response = job.requests.iter().enumerate().any(|(index, request)| {
+        let next_sent_ms = job.requests.get(index + 1).map_or(u64::MAX, |next| next.sent_unix_ms);
+        let has_run = records.iter().any(|record| {
+            record.started_at_ms < next_sent_ms && record.ended_at_ms > request.sent_unix_ms
+        });
+        let is_outside_closing_race = request.took_ms > MAX_CLOSING_RACE_MS || has_run;
         request.end == RequestEnd::ConnectionLost && is_outside_closing_race
     });
     [
