Acknowledge no end of a restarted target with the cursor of its former life

The target crashed at 2778 ms; at 2803 ms the dispatcher, whose listing request was still open, started a run on it, which the new incarnation took (2804) and ended as done (2974). That listing was lost; the next request still carried the end number of the former incarnation, and the target dropped the end. The run counted as lost with the crash and was started again at 3035 ms. So callers saw a job failed that had one crash under its task (2 of 2 counted), and a task run twice: by RULES an end that the cursor reaches is taken note of, so the second start breaks TWICE.

Targets' clocks start anew with each incarnation, and every answer to a start carries one. If the start was sent after the last answer was read, and its clock is earlier, the target has restarted. The dispatcher then logs it (646), requests a listing, and sends 0 as the end number until a listing has shown the new incarnation, or was requested later from the same one. An answer that was overtaken by a listing changes nothing. The listing of the new incarnation has the run or its end, so the loss is settled as none.

The promise stays: two crashes, one of them alone, fail the job; LossCount and the tests of target_loss.rs are untouched.

Failed before: end_of_a_restarted_target_is_not_acknowledged_by_the_cursor_of_the_earlier_incarnation (`assertion left == right failed, left: 7, right: 0`), target_that_answers_a_start_with_an_earlier_clock_is_listed_at_once (`assertion failed: harness.take_actions().iter().any(is_listing)`). The other three new tests passed before and after.

Ruled out by a trial: not counting a crash after the expected end of the run. It would also have weakened the promise for tasks that crash targets late, which look the same to the dispatcher as a run that ended just before a crash.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -296,14 +296,16 @@
         // A lower offset means that the request was addressed to an earlier incarnation of the
         // target.
         self.superseded |= outcome == StartOutcome::Fenced && token_offset == target.token_offset();
-        if let Some(clock_ms) = clock_ms {
-            target.update_clock(clock_ms, now_ms);
+        let target_run = target.runs().iter().find(|target_run| target_run.run == run).copied();
+        let sent_at_ms = target_run.map_or(0, |target_run| target_run.start_sent_at_ms);
+        if let Some(clock_ms) = clock_ms
+            && target.update_clock(clock_ms, sent_at_ms, now_ms)
+        {
+            log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
+            self.request_listing(target_index, now_ms);
         }
-        let Some(target_run) =
-            target.runs().iter().find(|target_run| target_run.run == run).copied()
-        else {
-            return;
-        };
+        let Some(target_run) = target_run else { return };
+        let target = &mut self.targets[target_index];
         match outcome {
             StartOutcome::Accepted if target_run.phase == RunPhase::Ordered => {
                 target.set_phase(run, RunPhase::Running, now_ms);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -60,6 +60,8 @@
     token_offset: u64,
     /// Time at which the last restart was seen.
     incarnation_seen_at_ms: u64,
+    /// Time at which an answer showed a restart that no listing has shown yet.
+    unlisted_restart_at_ms: Option<u64>,
     /// Time at which the last message that may extend the lease was sent.
     lease_sent_at_ms: u64,
     /// Time by which the lease has expired, as far as this dispatcher and those before it extended it.
@@ -99,6 +101,7 @@
             listing_required_since_ms: 0,
             token_offset: 0,
             incarnation_seen_at_ms: 0,
+            unlisted_restart_at_ms: None,
             lease_sent_at_ms: 0,
             lease_expired_at_ms: 0,
             consecutive_failures: 0,
@@ -245,8 +248,11 @@
 
     /// Returns the sequence number of the last end that was processed. The target may discard ends
     /// up to this number, and delays its next listing only while it has no later end.
+    ///
+    /// The numbers start anew with each incarnation, so none is returned while it is not known which
+    /// incarnation gets it.
     pub const fn ack_cursor(&self) -> u64 {
-        self.last_end_number
+        if self.unlisted_restart_at_ms.is_some() { 0 } else { self.last_end_number }
     }
 
     /// Records that a message that extends the lease by `lease_ms` is about to be sent.
@@ -459,6 +465,7 @@
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
+        self.unlisted_restart_at_ms.take_if(|at_ms| requested_at_ms >= *at_ms);
         self.clock = Some(ClockReading {
             started_unix_ms: listing.started_unix_ms,
             clock_ms: listing.clock_ms,
@@ -472,13 +479,21 @@
         ended
     }
 
-    /// Updates the clock from an answer that contains no listing.
-    pub const fn update_clock(&mut self, clock_ms: u64, now_ms: u64) {
-        if let Some(last) = &mut self.clock
-            && clock_ms >= last.clock_ms
-        {
-            last.clock_ms = clock_ms;
-            last.read_at_ms = now_ms;
+    /// Updates the clock from the answer to a start request that was sent at `sent_at_ms`. Returns
+    /// whether the answer shows that the target has restarted since its last answer.
+    pub const fn update_clock(&mut self, clock_ms: u64, sent_at_ms: u64, now_ms: u64) -> bool {
+        match &mut self.clock {
+            Some(last) if clock_ms >= last.clock_ms => {
+                last.clock_ms = clock_ms;
+                last.read_at_ms = now_ms;
+                false
+            }
+            // An answer to an earlier request may have been overtaken.
+            Some(last) if last.read_at_ms < sent_at_ms => {
+                self.unlisted_restart_at_ms = Some(now_ms);
+                true
+            }
+            _ => false,
         }
     }
 
@@ -487,6 +502,7 @@
     fn begin_incarnation(&mut self, now_ms: u64, ended: &mut Vec<EndedRun>) {
         self.token_offset += 1;
         self.incarnation_seen_at_ms = now_ms;
+        self.unlisted_restart_at_ms = None;
         let is_unconfirmed = |target_run: &TargetRun| !target_run.is_confirmed;
         let ended_runs: Vec<Run> = self
             .runs
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -233,7 +233,4 @@
     }
 }
 
-case!(all_faults_combined, (0..19).chain(20..200), combine_all_faults);
-
-// A run ends on a target whose listing is lost, and the target crashes just then.
-case!(all_faults_combined_seed_19, 19..20, combine_all_faults);
+case!(all_faults_combined, 0..200, combine_all_faults);
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -37,6 +37,26 @@
     starts_per_round
 }
 
+/// Completes a job on target 0, so that its ends up to 7 are processed, and starts a task of another
+/// job there, whose start is answered with `clock_ms`. Returns its run.
+fn start_after_processed_end(harness: &mut Harness, clock_ms: u64) -> Run {
+    harness.submit(job("00000000000000bb", vec![step(1)]));
+    let (_, first) = harness.take_starts().remove(0);
+    harness.apply_start_outcome(0, first, StartOutcome::Accepted);
+    harness.apply_listing(0, &[], &[(7, first, RunEnd::Done)]);
+    harness.advance(50);
+    harness.submit(job(JOB, vec![step(1)]));
+    let (target, run) = harness.take_starts().remove(0);
+    let (accepted, now_ms) = (StartOutcome::Accepted, harness.now_ms);
+    harness.dispatcher.apply_start_outcome(&target, run, 0, accepted, Some(clock_ms), now_ms);
+    run
+}
+
+fn ack_cursor(harness: &mut Harness) -> u64 {
+    let request = harness.dispatcher.listing_request(&target_id(0), harness.now_ms);
+    request.expect("the target is known").ack_cursor
+}
+
 fn target_index(id: &str) -> usize {
     id.trim_start_matches("t-").parse().expect("the harness numbers its targets")
 }
@@ -97,6 +117,46 @@
         assert_eq!(harness.take_starts().len(), 1);
     }
 
+    end_of_a_restarted_target_is_not_acknowledged_by_the_cursor_of_the_earlier_incarnation(harness: [16]) {
+        let run = start_after_processed_end(&mut harness, 20);
+        assert_eq!(ack_cursor(&mut harness), 0);
+        harness.apply_listing_of_incarnation(2, 0, &[], &[(1, run, RunEnd::Done)]);
+        let actions = harness.take_actions();
+        let answers =
+            actions.iter().filter(|action| matches!(action, Action::Answer { answer: JobAnswer::Completed, .. }));
+        assert_eq!(answers.count(), 1);
+        assert_eq!(ack_cursor(&mut harness), 1);
+    }
+
+    target_that_answers_a_start_with_an_earlier_clock_is_listed_at_once(harness: [16]) {
+        start_after_processed_end(&mut harness, 20);
+        let is_listing = |action: &Action| matches!(action, Action::RequestListing { .. });
+        assert!(harness.take_actions().iter().any(is_listing));
+    }
+
+    run_on_a_target_that_restarted_before_its_start_is_no_loss(harness: [16]) {
+        let run = start_after_processed_end(&mut harness, 20);
+        harness.apply_listing_of_incarnation(2, 0, &[(run, 10)], &[]);
+        assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
+    }
+
+    cursor_is_kept_if_the_same_incarnation_answers(harness: [16]) {
+        let clock_ms = harness.now_ms + 60;
+        start_after_processed_end(&mut harness, clock_ms);
+        assert_eq!(ack_cursor(&mut harness), 7);
+    }
+
+    cursor_is_kept_if_an_answer_is_overtaken_by_a_listing(harness: [16]) {
+        harness.submit(job(JOB, vec![step(1)]));
+        let (target, started) = harness.take_starts().remove(0);
+        let clock_ms = harness.now_ms;
+        harness.advance(20);
+        harness.apply_listing(0, &[(started, 10)], &[(7, run(9, 1), RunEnd::Done)]);
+        let (accepted, now_ms) = (StartOutcome::Accepted, harness.now_ms);
+        harness.dispatcher.apply_start_outcome(&target, started, 0, accepted, Some(clock_ms), now_ms);
+        assert_eq!(ack_cursor(&mut harness), 7);
+    }
+
     new_owner_gives_up_task_that_crashed_two_targets_of_earlier_owners(harness: [16, 16, 16]) {
         harness.submit(patient_job(JOB, vec![step(1)]));
         crash_started_targets(&mut harness, 2);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -139,6 +139,8 @@
     TargetListed = 644,
     /// The whole list of targets was read; targets that it adds are not logged one by one.
     TargetListLoaded = 645,
+    /// The answer to a start request shows that a target has restarted; a listing is requested.
+    TargetRestartSeen = 646,
     /// This process became the owner of the targets of its availability zone.
     OwnershipTaken = 660,
     /// This process released the ownership of the targets of its availability zone.
