Leave the clock of a target alone when a former incarnation answers late

An answer to a start that was sent to a former incarnation of a target, and that arrives after the first listing of the new one, set the target's clock to that of the former. Listings of the new incarnation, whose clock starts anew, were then ignored as outdated until their clock had passed the other: runs did not end, and tasks waited. The clock is now read only from answers to the current incarnation, which the token offset of the request tells.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -295,10 +295,11 @@
         let target = &mut self.targets[target_index];
         // A lower offset means that the request was addressed to an earlier incarnation of the
         // target.
-        self.superseded |= outcome == StartOutcome::Fenced && token_offset == target.token_offset();
+        let is_to_current = token_offset == target.token_offset();
+        self.superseded |= outcome == StartOutcome::Fenced && is_to_current;
         let target_run = target.runs().iter().find(|target_run| target_run.run == run).copied();
         let sent_at_ms = target_run.map_or(0, |target_run| target_run.start_sent_at_ms);
-        if let Some(clock_ms) = clock_ms
+        if let Some(clock_ms) = clock_ms.filter(|_| is_to_current)
             && target.update_clock(clock_ms, sent_at_ms, now_ms)
         {
             log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
--- a/crates/placement/tests/target_loss.rs
+++ b/crates/placement/tests/target_loss.rs
@@ -140,6 +140,18 @@
         assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
     }
 
+    listing_of_a_restarted_target_is_applied_after_a_late_answer_of_the_earlier_incarnation(harness: [16]) {
+        harness.submit(job(JOB, vec![step(1)]));
+        let (target, run) = harness.take_starts().remove(0);
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        let (late_clock_ms, now_ms) = (harness.now_ms + 1_000, harness.now_ms);
+        let accepted = StartOutcome::Accepted;
+        harness.dispatcher.apply_start_outcome(&target, run, 0, accepted, Some(late_clock_ms), now_ms);
+        harness.advance(200);
+        harness.apply_listing_of_incarnation(2, 0, &[], &[]);
+        assert_eq!(harness.take_starts().len(), 1, "the run was lost with the earlier incarnation");
+    }
+
     cursor_is_kept_if_the_same_incarnation_answers(harness: [16]) {
         let clock_ms = harness.now_ms + 60;
         start_after_processed_end(&mut harness, clock_ms);
