Let processes of a zone meet through other zones without the store

Callers of a zone whose two processes restarted while the store was away were served by two owners in turn: each learned of other processes only from the store's table and from heartbeats that reached it, so that the two never met, although other zones heard both.

A heartbeat to a process that has not read the table (new field lacks_vm_list) lists up to 16 processes of its zone that the sender has heard itself in the last 30 s (zone_members), in turn: in the answer that each new incarnation gets once, in each third round of the 2 s after that, and to processes that are silent, each twelfth round. The recipient sends heartbeats to them; nothing else follows from a list. A recent claim that a live peer reports of a known process of the zone keeps a process from claiming, and its jobs go to that owner's address. While a process hears no owner (lacks_owner), owners of other zones send to it each round, so that reports stay within the 450 ms after which a dead owner is replaced. A follower no longer sends ten times a second to processes of other zones of which it only has the row: it introduces itself up to three times, 16 a round, to zones of which it hears nobody, and sends to owners that its zone reports. Members is the one list of addresses, from settings, table, heartbeats and lists; what gave no heartbeat for 2 min and is in neither settings nor table is dropped, and lists of peers do not prolong that. Readiness still needs an owner that is heard: one that is only reported may be unreachable from here, and the other processes of the zone can serve the callers.

set_known_peer_count is gone, since Ownership knows the members itself; the test that used it adds a seed instead.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -319,6 +319,16 @@
         serde_json::from_slice(&reply.body).expect("the response is JSON")
     }
 
+    /// Returns the status of a node as operators see it; null if there is no answer.
+    pub async fn status(&self, node: usize) -> Value {
+        let addr = SocketAddr::new(self.nodes[node].bind_ip, OPERATOR_PORT);
+        let Ok(reply) = self.client.get(addr, "/status", WAIT_TIMEOUT_MS).await else {
+            return Value::Null;
+        };
+        let mut status: Value = serde_json::from_slice(&reply.body).expect("the status is JSON");
+        status["details"].take()
+    }
+
     /// Returns the value of a metric of a node, which has these labels in the text format.
     pub async fn metric(&self, node: usize, name_and_labels: &str) -> Option<u64> {
         let addr = SocketAddr::new(self.nodes[node].bind_ip, OPERATOR_PORT);
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -18,7 +18,7 @@
 use ggb_standin::{Endpoints, Relay, RunRecord, RunSpec, StoreMode};
 use http_types::{Method, StatusCode};
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 const SIZE: FleetSize = FleetSize { zones: 2, nodes_per_zone: 2, targets_per_zone: 2 };
 
@@ -328,6 +328,32 @@
         assert_done(&fleet, 5, 2);
     }
 
+    processes_of_a_zone_that_restart_while_the_store_is_down_agree_on_one_owner(72, fleet) {
+        fleet.store.set_mode(StoreMode::Down);
+        for node in [0, 1, 3] {
+            fleet.nodes[node].process.kill();
+        }
+        for node in [0, 1] {
+            fleet.nodes[node].process.restart().unwrap();
+        }
+        fleet.wait_until("both processes name the same owner", || async {
+            let (first, second) = (fleet.status(0).await, fleet.status(1).await);
+            let owner = |status: &Value| status["owner"].as_str().map(ToOwned::to_owned);
+            match (&first["claim"], &second["claim"]) {
+                (Value::Number(_), Value::Null) => owner(&second).as_deref() == Some("n-0-1"),
+                (Value::Null, Value::Number(_)) => owner(&first).as_deref() == Some("n-0-2"),
+                _ => false,
+            }
+        }).await;
+        for node in [0, 1] {
+            fleet.wait_until("a caller's job completes", || async {
+                let reply = fleet.submit(node, 7 + node as u64, 2, 50).await;
+                reply.is_some_and(|reply| job_state(&reply).as_deref() == Some("completed"))
+            }).await;
+            assert_done(&fleet, 7 + node as u64, 2);
+        }
+    }
+
     delayed_job_from_a_peer_is_not_taken(65, fleet) {
         let peer = Node {
             name: "peer".to_owned(),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 //! A view only directs new work; it does not decide whether work may start.
 //!
 //! [`Ownership`] elects the VM that controls the targets of an availability zone, and
+//! [`Members`] are the processes that it exchanges heartbeats with, and
 //! [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
 //! without coordination.
 //!
@@ -32,18 +33,24 @@
 //! ```
 
 mod gossip;
+mod members;
 mod ownership;
 mod peer_clock;
+mod recipients;
 mod rendezvous;
+mod reports;
 mod view;
 
 pub use crate::{
     gossip::VersionGossip,
+    members::{Member, Members},
     ownership::{
         HEARTBEAT_INTERVAL_MS, Heartbeat, KnownClaim, MessageSender, Node, OWNER_TIMEOUT_MS,
         Ownership, OwnershipChange, PeerState,
     },
     peer_clock::PeerClock,
+    recipients::{MAX_ZONE_MEMBERS, Recipient, Recipients},
     rendezvous::rank_by_rendezvous,
+    reports::ReportedOwner,
     view::{MembershipView, Role, Vm, VmState},
 };
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -10,7 +10,7 @@
 use ggb_model::Zone;
 use serde::{Deserialize, Serialize};
 
-use crate::PeerClock;
+use crate::{Members, PeerClock, members::MEMBER_RETENTION_MS};
 
 /// Interval between the heartbeats of the VMs of one zone.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 100;
@@ -107,6 +107,17 @@
     pub free_tasks: u64,
     /// Number of tasks that wait for capacity on the sender's targets.
     pub queued_tasks: u64,
+    /// Whether the sender has not read the list of VMs since its start, so that it depends on its
+    /// peers to learn of the others.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub lacks_vm_list: bool,
+    /// Whether the sender neither owns its zone nor receives heartbeats of an owner, so that it
+    /// depends on the reports of its peers.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub lacks_owner: bool,
+    /// Processes of the recipient's zone that the sender itself has heard.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_members: Vec<Node>,
 }
 
 /// Sender of a message to a peer, and the time of sending.
@@ -141,7 +152,11 @@
     pub heartbeat: Heartbeat,
     /// Local time at which the last heartbeat arrived.
     pub last_heartbeat_ms: u64,
+    /// Local time at which the first heartbeat of the peer's current incarnation arrived.
+    pub incarnation_since_ms: u64,
     clock: PeerClock,
+    /// Whether the first heartbeat of the current incarnation was not answered yet.
+    awaits_answer: bool,
 }
 
 impl PeerState {
@@ -196,19 +211,22 @@
     highest_token: u64,
     /// Sorted by name.
     peers: Vec<PeerState>,
-    /// Number of other VMs that are known to exist.
-    known_peer_count: usize,
     /// Whether the list of VMs was read.
     vm_list_loaded: bool,
     /// Names of the listed VMs of this zone that would supersede this one, sorted.
     stronger_vms: Vec<String>,
+    members: Members,
+    /// Selects the part of a zone's members that the next list contains.
+    list_turn: usize,
 }
 
 impl Ownership {
     /// Returns the state of a VM that has just started.
     ///
     /// `incarnation` must differ from that of every earlier process of this VM.
-    pub const fn new(local_node: Node, incarnation: u64, now_ms: u64) -> Self {
+    pub fn new(local_node: Node, incarnation: u64, now_ms: u64) -> Self {
+        // Processes that list the members of the same zone begin with different parts.
+        let list_turn = ip_low_bits(local_node.ip) as usize;
         Ownership {
             local_node,
             incarnation,
@@ -218,9 +236,10 @@
             no_claim_before_ms: 0,
             highest_token: 0,
             peers: Vec::new(),
-            known_peer_count: 0,
             vm_list_loaded: false,
             stronger_vms: Vec::new(),
+            members: Members::new(),
+            list_turn,
         }
     }
 
@@ -234,6 +253,37 @@
         &self.peers
     }
 
+    /// Returns the other processes that are known to exist.
+    pub const fn members(&self) -> &Members {
+        &self.members
+    }
+
+    pub(crate) const fn members_mut(&mut self) -> &mut Members {
+        &mut self.members
+    }
+
+    pub(crate) const fn next_list_turn(&mut self) -> usize {
+        self.list_turn = self.list_turn.wrapping_add(1);
+        self.list_turn
+    }
+
+    /// Adds the address of a VM in the settings. Returns whether it is new.
+    pub fn add_seed(&mut self, ip: IpAddr, now_ms: u64) -> bool {
+        ip != self.local_node.ip && self.members.add_seed(ip, now_ms)
+    }
+
+    /// Forgets the processes that gave no heartbeat for a long time and are not listed.
+    pub fn prune(&mut self, now_ms: u64) {
+        self.members.prune(now_ms);
+        let members = &self.members;
+        self.peers.retain(|peer| {
+            let node = &peer.heartbeat.node;
+            let is_member = |member: &crate::Member| member.node.as_ref() == Some(node);
+            now_ms < peer.last_heartbeat_ms + MEMBER_RETENTION_MS
+                || members.find(node.ip).is_some_and(is_member)
+        });
+    }
+
     /// Returns the token of this VM's claim, or `None` if it is not the owner.
     pub const fn claim_token(&self) -> Option<u64> {
         match self.claim_state {
@@ -242,15 +292,13 @@
         }
     }
 
-    /// Sets the number of other VMs that are known to exist.
-    pub const fn set_known_peer_count(&mut self, count: usize) {
-        self.known_peer_count = count;
-    }
-
     /// Records that the list of VMs was read and contains `listed`.
     pub fn set_vm_list<'a>(&mut self, listed: impl IntoIterator<Item = &'a Node>) {
         self.vm_list_loaded = true;
         let local_node = &self.local_node;
+        let is_other = |node: &&Node| node.name != local_node.name && node.ip != local_node.ip;
+        let listed: Vec<&Node> = listed.into_iter().filter(is_other).collect();
+        self.members.set_list(listed.iter().copied());
         let stronger = listed
             .into_iter()
             .filter(|node| node.zone == local_node.zone && supersedes(node, local_node));
@@ -271,23 +319,44 @@
     }
 
     /// Records the heartbeat of a peer; heartbeats of this VM are ignored.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
+    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now_ms: u64) {
         if heartbeat.node.name == self.local_node.name {
             return;
         }
+        if heartbeat.node.ip != self.local_node.ip {
+            self.members.record_heartbeat(&heartbeat.node, now_ms);
+        }
+        for node in std::mem::take(&mut heartbeat.zone_members) {
+            let is_other = node.name != self.local_node.name && node.ip != self.local_node.ip;
+            if is_other && node.zone == self.local_node.zone {
+                self.members.add_reported(&node, now_ms);
+            }
+        }
         let tokens =
             heartbeat.known_claims.iter().map(|claim| claim.token).chain(heartbeat.claim_token);
         self.highest_token = tokens.fold(self.highest_token, u64::max);
         let name = &heartbeat.node.name;
         match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
             Ok(index) => {
-                let mut clock = self.peers[index].clock;
-                clock.record_message(heartbeat.incarnation, heartbeat.clock_ms, now_ms);
-                self.peers[index] = PeerState { heartbeat, last_heartbeat_ms: now_ms, clock };
+                let peer = &mut self.peers[index];
+                if peer.heartbeat.incarnation != heartbeat.incarnation {
+                    peer.incarnation_since_ms = now_ms;
+                    peer.awaits_answer = true;
+                }
+                peer.clock.record_message(heartbeat.incarnation, heartbeat.clock_ms, now_ms);
+                peer.heartbeat = heartbeat;
+                peer.last_heartbeat_ms = now_ms;
             }
             Err(index) => {
                 let clock = PeerClock::new(heartbeat.incarnation, heartbeat.clock_ms, now_ms);
-                self.peers.insert(index, PeerState { heartbeat, last_heartbeat_ms: now_ms, clock });
+                let peer = PeerState {
+                    heartbeat,
+                    last_heartbeat_ms: now_ms,
+                    incarnation_since_ms: now_ms,
+                    clock,
+                    awaits_answer: true,
+                };
+                self.peers.insert(index, peer);
             }
         }
     }
@@ -305,7 +374,15 @@
         self.find_peer(name).map(|peer| peer.heartbeat.node.ip)
     }
 
-    fn find_peer(&self, name: &str) -> Option<&PeerState> {
+    /// Returns whether this is the first call since the first heartbeat of the current incarnation
+    /// of the peer `name`.
+    pub(crate) fn take_awaits_answer(&mut self, name: &str) -> bool {
+        let compare_name = |peer: &PeerState| peer.heartbeat.node.name.as_str().cmp(name);
+        let index = self.peers.binary_search_by(compare_name);
+        index.is_ok_and(|index| std::mem::take(&mut self.peers[index].awaits_answer))
+    }
+
+    pub(crate) fn find_peer(&self, name: &str) -> Option<&PeerState> {
         let compare_name = |peer: &PeerState| peer.heartbeat.node.name.as_str().cmp(name);
         let index = self.peers.binary_search_by(compare_name).ok()?;
         Some(&self.peers[index])
@@ -366,9 +443,17 @@
             configuration_version: 0,
             free_tasks: 0,
             queued_tasks: 0,
+            lacks_vm_list: !self.vm_list_loaded,
+            lacks_owner: self.claim_token().is_none() && !self.hears_zone_owner(now_ms),
+            zone_members: Vec::new(),
         }
     }
 
+    /// Returns whether recent heartbeats of an owner of this VM's zone have arrived.
+    fn hears_zone_owner(&self, now_ms: u64) -> bool {
+        self.owner_of(&self.local_node.zone).is_some_and(|owner| owner.is_alive(now_ms))
+    }
+
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
         if let ClaimState::Owner { token } = self.claim_state {
@@ -428,6 +513,9 @@
         if self.leaving || now_ms < self.no_claim_before_ms {
             return false;
         }
+        if self.reported_owner(now_ms).is_some() {
+            return false;
+        }
         let stagger_ms = CANDIDATE_STAGGER_MS * self.candidate_rank(now_ms) as u64;
         let isolation_delay_ms = match self.is_isolated(now_ms) {
             true => ISOLATED_CLAIM_DELAY_MS,
@@ -485,7 +573,7 @@
 
     /// Returns whether peers are known to exist but this VM receives heartbeats from none of them.
     fn is_isolated(&self, now_ms: u64) -> bool {
-        self.known_peer_count > 0 && !self.peers.iter().any(|peer| peer.is_alive(now_ms))
+        !self.members.as_slice().is_empty() && !self.peers.iter().any(|peer| peer.is_alive(now_ms))
     }
 
     /// Returns the number of live VMs of the zone that should claim before this one: those with
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -48,7 +48,7 @@
             #[test]
             fn $name() {
                 let mut $ownership = Ownership::new(node("a", 2, 250), 1, 0);
-                $ownership.set_known_peer_count(3);
+                $ownership.add_seed(IpAddr::from([10, 0, 1, 1]), 0);
                 $ownership.set_vm_list([]);
                 $body
             }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -210,9 +210,8 @@
     if let Some(owner) = shared.owner.load_full() {
         return Some((shared.settings.ip, OwnerLocation::Local(owner)));
     }
-    let ownership = shared.ownership.lock();
-    let owner = ownership.owner_of(&shared.settings.zone)?;
-    Some((owner.heartbeat.node.ip, OwnerLocation::Remote))
+    let ip = shared.ownership.lock().zone_owner_ip(shared.now_ms())?;
+    Some((ip, OwnerLocation::Remote))
 }
 
 /// Sends a job to the owner of the zone, and to the next owner if that one stops or can't be
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,7 +11,9 @@
 use futures::{FutureExt as _, pin_mut, select};
 use ggb_adapter::Row;
 use ggb_control::unix_time_ms;
-use ggb_membership::{HEARTBEAT_INTERVAL_MS, Heartbeat, Node, OwnershipChange};
+use ggb_membership::{
+    HEARTBEAT_INTERVAL_MS, Heartbeat, Node, Ownership, OwnershipChange, Recipient, Recipients,
+};
 use ggb_placement::{Load, TargetLoss};
 use ggb_telemetry::log_event;
 use serde::{Deserialize, Serialize};
@@ -21,10 +23,6 @@
 /// Name of the store's table in which each process has a row, with the name of its VM as key.
 const NODES_TABLE: &str = "nodes";
 
-/// Interval, in rounds, at which a heartbeat goes to [`Recipients::All`] instead of
-/// [`Recipients::Zone`].
-const ALL_RECIPIENTS_INTERVAL_ROUNDS: u64 = 3;
-
 /// Interval at which owners with jobs send their load to the owners of other zones; half the run
 /// time of a task of 50 ms.
 const LOAD_INTERVAL_MS: u64 = 25;
@@ -33,20 +31,6 @@
 /// has free capacity.
 const MIN_LOAD_INTERVAL_MS: u64 = 5;
 
-/// Recipients of a heartbeat. A peer whose zone is not known yet counts as one of the sender's
-/// zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Recipients {
-    /// Only the owners of other zones.
-    RemoteOwners,
-    /// The processes of the sender's zone; if the sender is an owner, also the owners of other
-    /// zones.
-    Zone,
-    /// The processes of the sender's zone and the owners of other zones; if the sender is an owner,
-    /// every process.
-    All,
-}
-
 /// Maximum size of a heartbeat, well within the limit of a datagram.
 const MAX_HEARTBEAT_BYTES: usize = 8_192;
 
@@ -78,6 +62,13 @@
     target_losses: Vec<TargetLoss>,
 }
 
+impl HeartbeatMessage {
+    fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self)
+            .expect("a heartbeat serializes to JSON because its map keys are strings")
+    }
+}
+
 /// Interval at which the list of processes is read. The list matters at start and after a network
 /// partition; otherwise a new process makes itself known by its heartbeats.
 const NODES_POLL_INTERVAL_MS: u64 = 15_000;
@@ -102,7 +93,10 @@
 /// Learns from peers which targets were lost under which tasks before this process started.
 pub(crate) async fn fetch_target_losses(shared: Arc<Shared>) {
     task::sleep(Duration::from_millis(LOSS_FETCH_DELAY_MS)).await;
-    let mut peers = shared.peers.lock().clone();
+    let mut peers: Vec<IpAddr> = {
+        let ownership = shared.ownership.lock();
+        ownership.members().as_slice().iter().map(|member| member.ip).collect()
+    };
     // Processes that start at the same time ask different peers.
     let offset = peers.partition_point(|ip| *ip < shared.settings.ip);
     peers.rotate_left(offset);
@@ -150,6 +144,7 @@
 
 /// Records a heartbeat, and acts on its load, claim and configuration version.
 async fn handle_heartbeat(shared: &Arc<Shared>, socket: &UdpSocket, heartbeat: Heartbeat) {
+    let name = heartbeat.node.name.clone();
     let ip = heartbeat.node.ip;
     let own_version = shared.configuration_version();
     let peer_version = heartbeat.configuration_version;
@@ -158,21 +153,38 @@
     let leaving = heartbeat.leaving;
     let free_tasks = heartbeat.free_tasks;
     let known_claims = heartbeat.known_claims.clone();
-    shared.add_peer(ip);
     if claim.is_some() && zone != shared.settings.zone {
         let owner = shared.owner.load_full();
         if let Some(owner) = owner {
             owner.update_remote_capacity(&zone, if leaving { 0 } else { free_tasks });
         }
     }
-    let (new_owner, own_token) = {
-        let mut ownership = shared.ownership.lock();
-        let owner_before = ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone());
-        ownership.record_heartbeat(heartbeat, shared.now_ms());
-        let owner_after = ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone());
+    let now_ms = shared.now_ms();
+    let listed = heartbeat.zone_members.clone();
+    let (new_owner, own_token, learned, answer) = shared.update_members(|ownership| {
+        let owner_name = |ownership: &Ownership| {
+            ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone())
+        };
+        let is_unknown = |node: &Node| ownership.members().find(node.ip).is_none();
+        let unknown: Vec<Node> = listed.into_iter().filter(is_unknown).collect();
+        let owner_before = owner_name(ownership);
+        ownership.record_heartbeat(heartbeat, now_ms);
+        let owner_after = owner_name(ownership);
         let new_owner = (owner_before != owner_after).then_some(owner_after).flatten();
-        (new_owner, ownership.claim_token().filter(|_| zone == shared.settings.zone))
-    };
+        let own_token = ownership.claim_token().filter(|_| zone == shared.settings.zone);
+        let is_member = |node: &&Node| ownership.members().find(node.ip).is_some();
+        let learned: Vec<String> =
+            unknown.iter().filter(is_member).map(|node| node.name.clone()).collect();
+        (new_owner, own_token, learned, ownership.take_answer(&name, now_ms))
+    });
+    if !learned.is_empty() {
+        log_event!(info, PeersLearned, peer = name, learned = ?learned);
+    }
+    // A process that has just started learns of this one, and of its zone, without waiting for a
+    // round.
+    if let Some(recipient) = answer {
+        send_heartbeat(shared, socket, owner_load(shared), &[recipient]).await;
+    }
     match (new_owner, own_token) {
         (Some(owner), Some(token)) => {
             let own_name = &shared.settings.name;
@@ -198,20 +210,21 @@
     // This heartbeat may end or begin the ownership of this process. The peers are notified at
     // once, since callers may be waiting for an owner.
     if zone == shared.settings.zone && (claim.is_some() || leaving) && update_ownership(shared) {
-        send_heartbeat(shared, socket, owner_load(shared), Recipients::All).await;
+        let recipients = select_recipients(shared, Recipients::All, None);
+        send_heartbeat(shared, socket, owner_load(shared), &recipients).await;
     }
 }
 
 /// Updates the ownership and sends heartbeats at [`HEARTBEAT_INTERVAL_MS`], until the process ends.
 async fn send_periodic_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut reported_owner = None;
     for round in 0_u64.. {
+        shared.ownership.lock().prune(shared.now_ms());
         update_ownership(&shared);
-        let recipients = match round.is_multiple_of(ALL_RECIPIENTS_INTERVAL_ROUNDS) {
-            true => Recipients::All,
-            false => Recipients::Zone,
-        };
+        log_reported_owner(&shared, &mut reported_owner);
         let load = owner_load(&shared);
-        send_heartbeat(&shared, &socket, load, recipients).await;
+        let recipients = select_recipients(&shared, Recipients::of_round(round), Some(round));
+        send_heartbeat(&shared, &socket, load, &recipients).await;
         update_gauges(&shared, load);
         report_silent_connections(&shared);
         wait_for_next_round(&shared).await;
@@ -237,7 +250,10 @@
     match change {
         None => return false,
         Some(OwnershipChange::Claimed { token, known_token }) => {
-            let (live_peers, known_peers) = (shared.live_peer_count(), shared.peers.lock().len());
+            let (live_peers, known_peers) = {
+                let ownership = shared.ownership.lock();
+                (ownership.live_peer_count(shared.now_ms()), ownership.members().as_slice().len())
+            };
             log_event!(
                 info, OwnershipTaken, zone = %shared.settings.zone, token, known_token, live_peers,
                 known_peers
@@ -283,7 +299,8 @@
             load.free_tasks > 0 && shared.ownership.lock().has_queued_tasks_in_remote_zones(now_ms);
         if has_remote_demand || now_ms >= sent_at_ms + LOAD_INTERVAL_MS {
             sent_at_ms = now_ms;
-            send_heartbeat(&shared, &socket, load, Recipients::RemoteOwners).await;
+            let recipients = select_recipients(&shared, Recipients::RemoteOwners, None);
+            send_heartbeat(&shared, &socket, load, &recipients).await;
         }
     }
 }
@@ -293,55 +310,53 @@
     shared.owner.load().as_ref().map(|owner| owner.load()).unwrap_or_default()
 }
 
-/// Sends a heartbeat with `load` to `recipients`.
-async fn send_heartbeat(shared: &Shared, socket: &UdpSocket, load: Load, recipients: Recipients) {
+/// Returns the recipients of a heartbeat; `round` is that of a periodic heartbeat.
+fn select_recipients(
+    shared: &Shared,
+    recipients: Recipients,
+    round: Option<u64>,
+) -> Vec<Recipient> {
+    shared.ownership.lock().recipients(recipients, round, shared.now_ms())
+}
+
+/// Logs the owner that peers report, if it is another one than in the last round.
+fn log_reported_owner(shared: &Shared, last_logged: &mut Option<String>) {
+    let ownership = shared.ownership.lock();
+    let reported = ownership.reported_owner(shared.now_ms());
+    let name = reported.map(|owner| owner.node.name.clone());
+    if let Some(owner) = reported.filter(|_| *last_logged != name) {
+        log_event!(
+            info, OwnerReported, zone = %shared.settings.zone, owner = owner.node.name,
+            token = owner.token, age_ms = owner.age_ms, peer = owner.reported_by
+        );
+    }
+    *last_logged = name;
+}
+
+/// Sends a heartbeat with `load` to each of `recipients`.
+async fn send_heartbeat(shared: &Shared, socket: &UdpSocket, load: Load, recipients: &[Recipient]) {
     let now_ms = shared.now_ms();
-    let peers = shared.peers.lock().clone();
-    let (heartbeat, remote_peers, local_peers) = {
-        let ownership = shared.ownership.lock();
-        let mut heartbeat = ownership.heartbeat(now_ms);
-        heartbeat.free_tasks = load.free_tasks;
-        heartbeat.queued_tasks = load.queued_tasks;
-        let zone_and_role = |ip: IpAddr| {
-            let mut peers = ownership.peers().iter();
-            peers.find(|peer| peer.heartbeat.node.ip == ip).map(|peer| {
-                (
-                    peer.heartbeat.node.zone == ownership.local_node().zone,
-                    peer.heartbeat.claim_token.is_some(),
-                )
-            })
-        };
-        let (local, remote): (Vec<_>, Vec<_>) = peers
-            .into_iter()
-            .map(|ip| (ip, zone_and_role(ip)))
-            .partition(|(_, known)| known.is_none_or(|(local, _)| local));
-        (heartbeat, remote, local)
-    };
-    let mut heartbeat = heartbeat;
+    let mut heartbeat = shared.ownership.lock().heartbeat(now_ms);
+    heartbeat.free_tasks = load.free_tasks;
+    heartbeat.queued_tasks = load.queued_tasks;
     heartbeat.configuration_version = shared.configuration_version();
-    let is_owner = heartbeat.claim_token.is_some();
     let round = now_ms / HEARTBEAT_INTERVAL_MS;
     let losses_since_ms = now_ms.saturating_sub(LOSS_REPORT_MS);
     let owner = shared.owner.load_full();
     let target_losses =
         owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round, losses_since_ms));
     let target_losses = target_losses.unwrap_or_default();
-    let message = HeartbeatMessage { heartbeat, target_losses };
-    let message = serde_json::to_vec(&message)
-        .expect("a heartbeat serializes to JSON because its map keys are strings");
-    let is_remote_recipient = |known: &Option<(bool, bool)>| {
-        let is_to_owner = known.is_some_and(|(_, owner)| owner);
-        match recipients {
-            Recipients::RemoteOwners => is_to_owner,
-            Recipients::Zone => is_owner && is_to_owner,
-            Recipients::All => is_owner || is_to_owner,
-        }
-    };
-    let remote_recipients = remote_peers.iter().filter(|(_, known)| is_remote_recipient(known));
-    let local_recipients = local_peers.iter().filter(|_| recipients != Recipients::RemoteOwners);
-    for ip in local_recipients.chain(remote_recipients).map(|(ip, _)| *ip) {
+    let mut message = HeartbeatMessage { heartbeat, target_losses };
+    let encoded = message.encode();
+    for recipient in recipients {
+        let addr = shared.peer_addr(recipient.ip);
         // A heartbeat that can't be sent is treated like one lost in the network.
-        socket.send_to(&message, shared.peer_addr(ip)).await.ok();
+        if recipient.zone_members.is_empty() {
+            socket.send_to(&encoded, addr).await.ok();
+        } else {
+            message.heartbeat.zone_members.clone_from(&recipient.zone_members);
+            socket.send_to(&message.encode(), addr).await.ok();
+        }
     }
 }
 
@@ -421,7 +436,6 @@
     shared.metrics.store_calls.with_label_values(&["nodes", result]).inc();
     let Ok(changes) = read else { return false };
     let nodes = decode_nodes(&changes.rows);
-    nodes.iter().for_each(|node| shared.add_peer(node.ip));
-    shared.ownership.lock().set_vm_list(&nodes);
+    shared.update_members(|ownership| ownership.set_vm_list(&nodes));
     true
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -65,9 +65,7 @@
     pub(crate) targets: Mutex<Vec<TargetInfo>>,
     /// Version of the store up to which `targets` is current; 0 before the first read.
     pub(crate) targets_version: AtomicU64,
-    /// Addresses of the other processes, sorted.
-    pub(crate) peers: Mutex<Vec<IpAddr>>,
-    /// Receives a message after an address was added to `peers`.
+    /// Receives a message after a process was added to the known ones.
     pub(crate) peer_added: Receiver<()>,
     peer_added_sender: Sender<()>,
     pub(crate) open_requests: OpenRequests,
@@ -105,7 +103,6 @@
             ownership: Mutex::new(ownership),
             targets: Mutex::new(Vec::new()),
             targets_version: AtomicU64::new(0),
-            peers: Mutex::new(Vec::new()),
             peer_added,
             peer_added_sender,
             open_requests: OpenRequests::default(),
@@ -143,9 +140,12 @@
 
     /// Adds the seed addresses of the settings to the known peers.
     pub(crate) fn add_seeds(&self) {
-        for seed in &self.live_settings().seeds {
-            self.add_peer(*seed);
-        }
+        let now_ms = self.now_ms();
+        self.update_members(|ownership| {
+            for seed in &self.live_settings().seeds {
+                ownership.add_seed(*seed, now_ms);
+            }
+        });
     }
 
     /// Returns a client of the platform's store at the address in the current settings.
@@ -210,21 +210,15 @@
         }
     }
 
-    /// Adds the address of another process to the known peers.
-    pub(crate) fn add_peer(&self, ip: IpAddr) {
-        if ip == self.settings.ip {
-            return;
+    /// Updates the ownership, and wakes the heartbeats if that adds a process to the known ones.
+    pub(crate) fn update_members<T>(&self, update: impl FnOnce(&mut Ownership) -> T) -> T {
+        let mut ownership = self.ownership.lock();
+        let members_before = ownership.members().as_slice().len();
+        let output = update(&mut ownership);
+        if ownership.members().as_slice().len() > members_before {
+            // Fails if a message is pending already, which also covers this process.
+            self.peer_added_sender.try_send(()).ok();
         }
-        let peer_count = {
-            let mut peers = self.peers.lock();
-            match peers.binary_search(&ip) {
-                Ok(_) => return,
-                Err(index) => peers.insert(index, ip),
-            }
-            peers.len()
-        };
-        self.ownership.lock().set_known_peer_count(peer_count);
-        // Fails if a message is pending already, which also covers this peer.
-        self.peer_added_sender.try_send(()).ok();
+        output
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -151,6 +151,10 @@
     ProcessPaused = 664,
     /// Another process claims the targets that this one owns; the fields contain both tokens.
     RivalOwner = 665,
+    /// A peer listed processes of this availability zone that were not known; heartbeats go to them now.
+    PeersLearned = 667,
+    /// Peers report an owner of this availability zone that this process does not hear; while they do, it makes no claim.
+    OwnerReported = 668,
     /// The platform's store can't be read; the known configuration and targets stay in use.
     StoreUnreachable = 680,
     /// The platform's store can be read again.
