--- a/crates/membership/tests/elections/main.rs
+++ b/crates/membership/tests/elections/main.rs
@@ -8,7 +8,8 @@
 use std::net::IpAddr;
 
 use ggb_membership::{Heartbeat, Node, Ownership, OwnershipChange};
-use network::{Limits, Network, wire_token};
+use ggb_model::token_after_restarts;
+use network::{Limits, Network};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -91,8 +92,8 @@
     let second = claim_after(node("b", 2, [10, 2, 0, 2]), None);
     for (restarts, other_restarts) in (0..8).flat_map(|n| (0..8).map(move |m| (n, m))) {
         assert_ne!(
-            wire_token(first, restarts),
-            wire_token(second, other_restarts),
+            token_after_restarts(first, restarts),
+            token_after_restarts(second, other_restarts),
             "after {restarts} and {other_restarts} restarts"
         );
     }
--- a/crates/membership/tests/elections/network/mod.rs
+++ b/crates/membership/tests/elections/network/mod.rs
@@ -15,7 +15,6 @@
 
 pub use faults::Limits;
 use schedule::ScheduledEvent;
-pub use targets::wire_token;
 use targets::{Disobedience, Target, TargetRequest, TargetView};
 
 /// Unix time at the start of a simulation.
@@ -49,8 +48,6 @@
 /// A running process.
 struct Process {
     ownership: Ownership,
-    /// Addresses to which the process can send heartbeats, sorted.
-    known_ips: Vec<IpAddr>,
     /// Number of heartbeat rounds until now.
     round: u64,
     /// What the process knows of its zone's targets as their owner.
@@ -215,7 +212,6 @@
         vm_state.incarnations += 1;
         vm_state.process = Some(Process {
             ownership: Ownership::new(vm_state.node.clone(), vm_state.incarnations, now_ms),
-            known_ips: Vec::new(),
             round: 0,
             targets: Vec::new(),
         });
@@ -240,24 +236,30 @@
     fn read_vm_list(&mut self, id: ProcessId) {
         let is_available = self.is_store_available;
         let nodes: Vec<Node> = self.vms.iter().map(|vm| vm.node.clone()).collect();
-        let Some(process) = self.process_mut(id) else { return };
+        if self.process_mut(id).is_none() {
+            return;
+        }
         if is_available {
-            process.ownership.set_vm_list(&nodes);
-            nodes.iter().for_each(|node| self.add_known_ip(id, node.ip));
+            self.update_members(id, |ownership| ownership.set_vm_list(&nodes));
         }
         let delay_ms = if is_available { VM_LIST_INTERVAL_MS } else { VM_LIST_RETRY_DELAY_MS };
         self.at(self.now_ms + delay_ms, move |network| network.read_vm_list(id));
     }
 
-    /// Adds an address to those that a process knows. A new one begins the next round at once.
-    fn add_known_ip(&mut self, id: ProcessId, ip: IpAddr) {
-        let own_ip = self.vms[id.vm].node.ip;
-        let Some(process) = self.process_mut(id).filter(|_| ip != own_ip) else { return };
-        let Err(index) = process.known_ips.binary_search(&ip) else { return };
-        process.known_ips.insert(index, ip);
-        process.ownership.set_known_peer_count(process.known_ips.len());
-        let round = process.round;
-        self.at(self.now_ms, move |network| network.begin_round(id, round));
+    /// Updates the members that a process knows. A new one begins the next round at once.
+    fn update_members<T>(
+        &mut self,
+        id: ProcessId,
+        update: impl FnOnce(&mut Ownership) -> T,
+    ) -> Option<T> {
+        let process = self.process_mut(id)?;
+        let members_before = process.ownership.members().as_slice().len();
+        let output = update(&mut process.ownership);
+        if process.ownership.members().as_slice().len() > members_before {
+            let round = process.round;
+            self.at(self.now_ms, move |network| network.begin_round(id, round));
+        }
+        Some(output)
     }
 
     /// Begins a round of heartbeats, unless it has begun already.
--- a/crates/membership/tests/elections/network/targets.rs
+++ b/crates/membership/tests/elections/network/targets.rs
@@ -1,5 +1,7 @@
 //! Targets that keep the highest token seen, and the requests of owners to them.
 
+use ggb_model::token_after_restarts;
+
 use super::{Network, ProcessId, TARGETS_PER_ZONE};
 
 /// Interval at which an owner asks a target for a listing.
@@ -11,13 +13,6 @@
 /// Delay before an owner repeats a request that an earlier incarnation of the target rejected.
 const FENCED_RETRY_DELAY_MS: u64 = 25;
 
-/// Returns the token that an owner sends to a target, after `restarts` of the target that it has
-/// seen.
-// Kept in one place, since the node computes it outside of this crate.
-pub const fn wire_token(token: u64, restarts: u64) -> u64 {
-    token + restarts
-}
-
 /// A target of a zone.
 #[derive(Clone, Default)]
 pub(super) struct Target {
@@ -97,7 +92,8 @@
         let Some(&mut TargetView { target, restarts, .. }) = self.view_mut(claim, view) else {
             return;
         };
-        let request = TargetRequest { target, wire_token: wire_token(token, restarts), claim };
+        let request =
+            TargetRequest { target, wire_token: token_after_restarts(token, restarts), claim };
         self.requests.push(request);
         if self.is_lost() {
             self.request_listing_at(self.now_ms + UNANSWERED_RETRY_MS, claim, view);
