Tell a process that has just started the highest known token

A process that restarts within the second of its predecessor's claim, or whose clock stepped back, derived the same token again, so that requests of the two were indistinguishable to targets.

A heartbeat that answers a new incarnation, or lists members for it, now carries the highest token that the sender knows; the newcomer claims above it.

Where no live process heard the former claim, nothing can tell the newcomer; the identity of a claim is random and does not rest on its token.

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -130,6 +130,10 @@
     /// Processes of the recipient's zone that the sender itself has heard.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub zone_members: Vec<Node>,
+    /// Highest token that the sender knows, for a recipient that may have made a claim before it
+    /// started.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_token: Option<u64>,
 }
 
 /// Sender of a message to a peer, and the time of sending.
@@ -275,6 +279,10 @@
         &self.members
     }
 
+    pub(crate) const fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
     pub(crate) const fn members_mut(&mut self) -> &mut Members {
         &mut self.members
     }
@@ -349,8 +357,8 @@
                 self.members.add_reported(&node, now_ms);
             }
         }
-        let tokens =
-            heartbeat.known_claims.iter().map(|claim| claim.token).chain(heartbeat.claim_token);
+        let claims = heartbeat.known_claims.iter().map(|claim| claim.token);
+        let tokens = claims.chain(heartbeat.claim_token).chain(heartbeat.known_token);
         self.highest_token = tokens.fold(self.highest_token, u64::max);
         let name = &heartbeat.node.name;
         match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
@@ -463,6 +471,7 @@
             lacks_vm_list: !self.vm_list_loaded,
             lacks_owner: self.claim_token().is_none() && !self.hears_zone_owner(now_ms),
             zone_members: Vec::new(),
+            known_token: None,
         }
     }
 
--- a/crates/membership/src/recipients.rs
+++ b/crates/membership/src/recipients.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use crate::{Node, Ownership, PeerState};
+use crate::{Heartbeat, Node, Ownership, PeerState};
 
 /// Interval, in rounds, at which heartbeats go to [`Recipients::All`] instead of
 /// [`Recipients::Zone`].
@@ -61,6 +61,26 @@
     pub ip: IpAddr,
     /// Processes of the recipient's zone that the heartbeat lists; usually none.
     pub zone_members: Vec<Node>,
+    /// Highest token that this process knows, for a process that may have made a claim before it
+    /// started; usually `None`.
+    pub known_token: Option<u64>,
+}
+
+impl Recipient {
+    const fn new(ip: IpAddr) -> Self {
+        Recipient { ip, zone_members: Vec::new(), known_token: None }
+    }
+
+    /// Returns whether the recipient gets the same heartbeat as all others.
+    pub const fn is_plain(&self) -> bool {
+        self.zone_members.is_empty() && self.known_token.is_none()
+    }
+
+    /// Returns the heartbeat for this recipient.
+    pub fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
+        let Recipient { zone_members, known_token, .. } = self;
+        Heartbeat { zone_members: zone_members.clone(), known_token: *known_token, ..heartbeat }
+    }
 }
 
 impl Ownership {
@@ -98,13 +118,15 @@
             if !is_recipient {
                 continue;
             }
-            let zone_members = match node {
-                Some(node) if lists_members(peer, round, now_ms) => {
-                    self.zone_members(node, turn, now_ms)
-                }
-                _ => Vec::new(),
+            let recipient = match node {
+                Some(node) if lists_members(peer, round, now_ms) => Recipient {
+                    ip: member.ip,
+                    zone_members: self.zone_members(node, turn, now_ms),
+                    known_token: Some(self.highest_token()),
+                },
+                _ => Recipient::new(member.ip),
             };
-            selected.push(Recipient { ip: member.ip, zone_members });
+            selected.push(recipient);
         }
         if recipients != Recipients::RemoteOwners && round.is_some() && !is_owner {
             selected.extend(self.introductions(now_ms));
@@ -125,7 +147,8 @@
             true => self.zone_members(node, turn, now_ms),
             false => Vec::new(),
         };
-        Some(Recipient { ip: node.ip, zone_members })
+        let known_token = Some(self.highest_token());
+        Some(Recipient { ip: node.ip, zone_members, known_token })
     }
 
     /// Returns addresses in zones of which no process is heard. A process of such a zone may not
@@ -137,7 +160,7 @@
         heard_zones.sort_unstable();
         let is_due = |node: &Node| heard_zones.binary_search(&node.zone).is_err();
         let ips = self.members_mut().take_introductions(MAX_INTRODUCTIONS_PER_ROUND, is_due);
-        ips.into_iter().map(|ip| Recipient { ip, zone_members: Vec::new() }).collect()
+        ips.into_iter().map(Recipient::new).collect()
     }
 
     /// Returns up to [`MAX_ZONE_MEMBERS`] processes of the recipient's zone that this one has heard
--- a/crates/membership/tests/elections/network/heartbeats.rs
+++ b/crates/membership/tests/elections/network/heartbeats.rs
@@ -29,8 +29,7 @@
     fn send_heartbeat(&mut self, sender: ProcessId, recipient: Recipient) {
         let now_ms = self.now_ms;
         let Some(process) = self.process_mut(sender) else { return };
-        let zone_members = recipient.zone_members;
-        let heartbeat = Heartbeat { zone_members, ..process.ownership.heartbeat(now_ms) };
+        let heartbeat = recipient.heartbeat(process.ownership.heartbeat(now_ms));
         let Some(vm) = self.vms.iter().position(|vm| vm.node.ip == recipient.ip) else { return };
         if self.cut_links.contains(&(sender.vm, vm)) || self.is_lost() {
             return;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -351,10 +351,10 @@
     for recipient in recipients {
         let addr = shared.peer_addr(recipient.ip);
         // A heartbeat that can't be sent is treated like one lost in the network.
-        if recipient.zone_members.is_empty() {
+        if recipient.is_plain() {
             socket.send_to(&encoded, addr).await.ok();
         } else {
-            message.heartbeat.zone_members.clone_from(&recipient.zone_members);
+            message.heartbeat = recipient.heartbeat(message.heartbeat);
             socket.send_to(&message.encode(), addr).await.ok();
         }
     }
