Wait for the runs of a releasing owner also if its job is known already

Callers could see a task run twice: while a zone has two owners, a job may be known at both (its caller came back to the second one). The first one releases it and names the targets of its runs; the second one attached the submission to the job that it knew, and dropped what it said about runs.

Such a submission now adds its runs to the known job, which waits for them from then on. A submission that this owner holds repeats what it knows, as does one after a lost connection (`still_held`), so these change nothing.

Seen failing without the change: job_that_is_known_already_waits_for_its_runs_of_the_releasing_owner, `left: [("t-0", Run {..., number: 1 })], right: []`. repeated_submission_of_a_released_job_does_not_ wait_again guards against the opposite.

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,8 +6,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Action, Capacity, Dispatcher, JobAnswer, JobId, RefusalReason, RequestId, StepSpec, Submission,
-    Target,
+    Action, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, RequestId,
+    StepSpec, Submission, Target,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -72,10 +72,16 @@
         if let Some(job) = self.job_mut(id) {
             let was_abandoned = job.phase() == JobPhase::Abandoned;
             job.record_caller_check(submission.caller_checked_at_ms(now_ms));
+            // An owner that this one did not know of has released the job. A submission that this owner
+            // holds already only repeats what is known.
+            if submission.holder.is_none() && submission.earlier_runs == EarlierRuns::OwnZone {
+                job.add_earlier_runs(&submission, now_ms);
+            }
             job.add_request(request, submission.caller_deadline_ms(now_ms));
             if was_abandoned && job.waiting_tasks() > 0 {
                 self.enqueue(id);
             }
+            self.request_awaited_listings(now_ms);
             self.place_tasks(now_ms);
             return;
         }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -159,6 +159,19 @@
         self.phase = JobPhase::Open;
     }
 
+    /// Records that an earlier dispatcher has released the job, with the runs that it reports.
+    pub(super) fn add_earlier_runs(&mut self, released: &Submission, now_ms: u64) {
+        self.submission.run_targets = released
+            .run_targets
+            .as_ref()
+            .and_then(|targets| self.submission.run_targets_with(targets.iter().cloned()));
+        self.submission.earlier_runs = self.submission.earlier_runs.max(released.earlier_runs);
+        self.submission.released_under =
+            self.submission.released_under.max(released.released_under);
+        self.arrived_at_ms = now_ms;
+        self.has_started = true;
+    }
+
     /// Records that an entry process found a caller connected at `checked_at_ms`.
     pub(super) fn record_caller_check(&mut self, checked_at_ms: u64) {
         self.caller_checked_at_ms = self.caller_checked_at_ms.max(checked_at_ms);
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -325,6 +325,32 @@
         assert_eq!(token_of_release(&mut harness), Some(TOKEN + 1));
     }
 
+    // The caller of the job came back to this owner while another one was alive, which then releases
+    // the job.
+    job_that_is_known_already_waits_for_its_runs_of_the_releasing_owner(harness: [16]) {
+        let blocking = "00000000000000cc";
+        harness.submit(job(blocking, vec![step(1)]));
+        let blocking_run = harness.take_starts()[0].1;
+        let mut known = job(JOB, vec![step(1)]);
+        known.queue.stretch = 20.0;
+        harness.submit(Submission { deadline_ms: 9_000, ..known });
+        harness.submit(moved_job(&["t-9"]));
+        harness.apply_listing(0, &[], &[(1, blocking_run, RunEnd::Done)]);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(LEASE_EXPIRY_MS + 5);
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+    }
+
+    // Entry processes send a job again for as long as it is held.
+    repeated_submission_of_a_released_job_does_not_wait_again(harness: [16]) {
+        let moved = moved_job(&["t-9"]);
+        harness.submit(moved.clone());
+        harness.advance(LEASE_EXPIRY_MS - 50);
+        harness.submit(Submission { holder: Some(ClaimId(0)), ..moved });
+        harness.advance(60);
+        assert_eq!(harness.take_starts(), [("t-0".to_owned(), run(0, 1))]);
+    }
+
     // The owner that started the orphaned run may have renewed the lease after this one, which does not
     // renew it beside orphaned runs.
     run_beside_those_of_another_owner_is_not_taken_for_lapsed_too_early(harness: [30, 48]) {
