Show by a count of what is held that an owner does not grow with its age

Dispatcher::held_entries counts the entries of each collection. A test plays two hours of load against three zones in virtual time: callers leave and return, jobs fail and crash targets, targets crash, leave the list and are replaced, other owners are killed and released, requests are lost and late. After every ten minutes of load and 65 s of quiet the owner of zone 0, which is the same all the time, holds nothing but its targets, their last listing requests, a run time for each queue and the capacity of each other zone; during load it holds at most twice what it held in the first ten minutes.

Not counted: what the process holds around the dispatcher (peers, connections, open requests, metrics).

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -3,6 +3,7 @@
 mod action;
 mod admission;
 mod due;
+mod held;
 mod job_state;
 mod lending;
 mod listings;
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -38,6 +38,11 @@
         log.exp().round() as u64
     }
 
+    /// Returns the number of queues with an average.
+    pub(crate) const fn queue_count(&self) -> usize {
+        self.queues.len()
+    }
+
     /// Adds the run time of a completed task to the average of its queue.
     pub fn observe(&mut self, queue: &Arc<str>, ran_ms: u64) {
         let log = (ran_ms.max(1) as f64).ln();
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -192,6 +192,11 @@
         &self.runs
     }
 
+    /// Returns the number of ends that are retained for jobs that are resumed.
+    pub(crate) fn recent_end_count(&self) -> usize {
+        self.recent_ends.len()
+    }
+
     /// Returns the free capacity.
     pub const fn free(&self) -> Capacity {
         self.info.capacity.saturating_sub(&self.used)
--- a/crates/placement/src/target_loss.rs
+++ b/crates/placement/src/target_loss.rs
@@ -89,6 +89,11 @@
         self.losses.is_empty()
     }
 
+    /// Returns the number of remembered losses.
+    pub(crate) const fn len(&self) -> usize {
+        self.losses.len()
+    }
+
     /// Adds a loss of a peer, or updates what is known about its cause. Returns whether anything
     /// is new.
     pub fn merge(&mut self, loss: &TargetLoss, now_ms: u64) -> bool {
--- a/crates/placement/tests/simulation/disruptions.rs
+++ b/crates/placement/tests/simulation/disruptions.rs
@@ -1,6 +1,11 @@
 //! Disruptions of owners, zones and targets that tests cause.
 
-use super::{Simulation, TAKEOVER_DELAY_MS};
+use std::sync::Arc;
+
+use ggb_placement::TargetInfo;
+use ggb_standin::SimulatedTarget;
+
+use super::{Simulation, TAKEOVER_DELAY_MS, ZoneTarget};
 
 impl Simulation {
     /// Partitions a zone from the others for `duration_ms`.
@@ -74,6 +79,39 @@
         self.targets[target_index].simulated.crash(now_ms);
     }
 
+    /// Removes a target from the target list, with all of its runs, and adds a new one to its zone.
+    pub fn replace_target(&mut self, target_index: usize) {
+        let now_ms = self.now_ms;
+        let next_index = self.targets.len();
+        let old = &mut self.targets[target_index];
+        old.simulated.crash(now_ms);
+        let (zone, id) = (old.zone, Arc::clone(&old.info.id));
+        let simulated = SimulatedTarget::new(old.info.capacity, now_ms);
+        let info = TargetInfo {
+            id: format!("t-{zone}-{next_index:03}").into(),
+            started_unix_ms: simulated.started_unix_ms(),
+            ..old.info.clone()
+        };
+        self.targets.push(ZoneTarget { zone, info: info.clone(), simulated });
+        let Some(owner_index) = self.current_owners[zone] else { return };
+        self.owners[owner_index].dispatcher.mark_target_removed(&id);
+        self.owners[owner_index].dispatcher.upsert_target(info);
+        self.poll_target(owner_index, next_index, 0);
+    }
+
+    /// Drops the targets that left the target list, as owners do now and then.
+    pub fn prune_targets(&mut self) {
+        for owner in self.owners.iter_mut().filter(|owner| owner.is_alive) {
+            owner.dispatcher.prune_removed_targets();
+        }
+    }
+
+    /// Returns what the owner of a zone holds.
+    pub fn held_entries(&self, zone: usize) -> [(&'static str, usize); 15] {
+        let owner_index = self.current_owners[zone].expect("the zone has an owner");
+        self.owners[owner_index].dispatcher.held_entries()
+    }
+
     /// Sets the mode of a target for `duration_ms`. The mode determines how the target treats runs
     /// that start meanwhile.
     pub fn set_mode(
