Take what a releasing owner reports for a job that is already known

If an owner had taken a job from its caller, and another owner of the zone released the same job to it, the tasks that the other one had completed started again, and its runs in other zones were not waited for.

Evidence: task_that_another_owner_completed_does_not_start_again_in_a_known_job (left: [0], right: [1]) and known_job_waits_for_the_runs_that_another_owner_offloaded (started run 1 at once) failed before. Completed tasks are now recorded as done, a run of them here is stopped, and a job released with runs in any zone waits for them.

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -74,13 +74,18 @@
             job.record_caller_check(submission.caller_checked_at_ms(now_ms));
             // An owner that this one did not know of has released the job. A submission that this owner
             // holds already only repeats what is known.
-            if submission.holder.is_none() && submission.earlier_runs == EarlierRuns::OwnZone {
+            let was_released = submission.holder.is_none()
+                && matches!(submission.earlier_runs, EarlierRuns::OwnZone | EarlierRuns::AnyZone);
+            if was_released {
                 job.add_earlier_runs(&submission, now_ms);
             }
             job.add_request(request, submission.caller_deadline_ms(now_ms));
             if was_abandoned && job.waiting_tasks() > 0 {
                 self.enqueue(id);
             }
+            if was_released {
+                self.exclude_tasks(&submission, now_ms);
+            }
             self.request_awaited_listings(now_ms);
             self.place_tasks(now_ms);
             return;
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -5,7 +5,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase, TargetRun,
+    Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase, Submission, TargetRun,
+    TaskId,
     dispatcher::job_state::{JobPhase, TaskEntry, TaskState},
 };
 
@@ -116,6 +117,26 @@
         }
     }
 
+    /// Records the tasks of a known job that another dispatcher has completed.
+    pub(super) fn exclude_tasks(&mut self, submission: &Submission, now_ms: u64) {
+        let id = submission.job.id;
+        for &(step, index) in &submission.excluded_tasks {
+            let Some(job) = self.job_mut(id) else { return };
+            let previous = job.set_done(TaskId { job: id, occurrence: 0, step, index });
+            if let Some(TaskState::Assigned { target, run }) = previous
+                && let Some(target_index) = self.target_index(&target)
+            {
+                self.stop_run(target_index, run, now_ms);
+            }
+        }
+        let Some(job) = self.job(id) else { return };
+        match job.phase() {
+            JobPhase::Open if job.is_completed() => self.complete_job(id, now_ms),
+            JobPhase::Open if job.waiting_tasks() == 0 => self.dequeue(id),
+            JobPhase::Open | JobPhase::Abandoned | JobPhase::Finished => {}
+        }
+    }
+
     pub(super) fn complete_job(&mut self, id: JobId, now_ms: u64) {
         if let Some(job) = self.job(id) {
             let took_ms = now_ms - job.received_at_ms();
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -20,6 +20,24 @@
     Submission { deadline_ms: 9_000, ..routed_job.submission().clone() }
 }
 
+/// Submits a job of two tasks that waits behind another job. Returns the run of the other job.
+fn submit_behind_another_job(harness: &mut Harness) -> Run {
+    harness.submit(job("00000000000000cc", vec![step(1)]));
+    let blocking_run = harness.take_starts()[0].1;
+    let mut known = job(JOB, vec![step(2)]);
+    known.queue.stretch = 20.0;
+    harness.submit(Submission { deadline_ms: 9_000, ..known });
+    assert_eq!(harness.take_starts(), []);
+    blocking_run
+}
+
+/// Returns the job of [`submit_behind_another_job`] as another owner has released it.
+fn released_by_unknown_owner(done: Vec<(u16, u16)>, earlier_runs: EarlierRuns) -> Submission {
+    let mut routed_job = RoutedJob::new(job(JOB, vec![step(2)]));
+    routed_job.mark_moved(done, earlier_runs, Some(vec![]), Some(0));
+    Submission { deadline_ms: 9_000, ..routed_job.submission().clone() }
+}
+
 /// Returns a job of one task for targets that start every task that they are told to start.
 fn job_of_unguarded_targets(id: &str) -> Submission {
     let mut submission = job(id, vec![step(1)]);
@@ -498,4 +516,23 @@
         harness.apply_listing(0, &[], &[]);
         assert_eq!(harness.take_starts().len(), 1);
     }
+
+    // The other owner was not known while this one had taken the job from its caller.
+    task_that_another_owner_completed_does_not_start_again_in_a_known_job(harness: [16]) {
+        let blocking_run = submit_behind_another_job(&mut harness);
+        harness.submit(released_by_unknown_owner(vec![(0, 0)], EarlierRuns::OwnZone));
+        harness.apply_listing(0, &[], &[(1, blocking_run, RunEnd::Done)]);
+        harness.advance(20);
+        let starts = harness.take_starts();
+        let indexes: Vec<u16> = starts.iter().map(|(_, run)| run.task.index).collect();
+        assert_eq!(indexes, [1]);
+    }
+
+    known_job_waits_for_the_runs_that_another_owner_offloaded(harness: [16]) {
+        let blocking_run = submit_behind_another_job(&mut harness);
+        harness.submit(released_by_unknown_owner(vec![], EarlierRuns::AnyZone));
+        harness.apply_listing(0, &[], &[(1, blocking_run, RunEnd::Done)]);
+        harness.advance(20);
+        assert_eq!(harness.take_starts(), []);
+    }
 }
