Bound waits and tokens after rejections by what was observed

- The wait after rejected tokens outlasted its reason: it ended by a heartbeat of the owner only, not by a report of it, and a rejection an hour later counted as the tenth in a row.
A zone could stay without an owner for 16 to 32 s (reported_owner_ends_the_wait_after_rejections: Some(32560); wait_after_a_rejection_is_short_again_after_an_hour).
The lead now grows only with claims that are rejected at once, and then faster (token_far_ahead_of_the_clock_is_exceeded_soon_after_the_first_claim: none in 20 s for an hour).
- A heartbeat that a later one had overtaken restored a released claim (overtaken_heartbeat_does_not_restore_a_released_claim).

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -45,23 +45,26 @@
 /// been lost meanwhile, so that a zone must not be left alone for longer.
 const MAX_FENCED_BACKOFF_DOUBLINGS: u32 = 6;
 
-/// Minimum duration of a claim, as a multiple of the wait before it, after which a rejection counts as
-/// the first one. Two owners that supersede each other in turn hold their claims for about as long as
-/// the other one waits.
-const LASTING_CLAIM_FACTOR: u64 = 8;
+/// Minimum time since the last rejection, as a multiple of the wait after it, after which a rejection
+/// counts as the first one. Two owners that supersede each other in turn are rejected after about
+/// twice their wait.
+const REJECTION_MEMORY_FACTOR: u64 = 8;
 
 /// Time for which a VM waits for an owner's heartbeat after its start: one interval and the
 /// network delay.
 const STARTUP_WAIT_MS: u64 = 130;
 
 /// Time by which the token of the next claim is ahead of one that a target rejected in favor of an
-/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds. Doubled for
-/// each further rejection, since earlier rejections may have taken the higher token far ahead of all
-/// clocks.
+/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds.
 const FENCED_TOKEN_LEAD_MS: u64 = 10_000;
 
-/// Maximum number of times that [`FENCED_TOKEN_LEAD_MS`] is doubled, to 43 min.
-const MAX_FENCED_LEAD_DOUBLINGS: u32 = 8;
+/// Binary logarithm of the factor by which [`FENCED_TOKEN_LEAD_MS`] grows with each claim in a row that
+/// was rejected at once. The higher token of such a claim may be that of a lost owner, far ahead of all
+/// clocks; owners that supersede each other must not take their tokens there.
+const LEAD_GROWTH_SHIFT: u32 = 3;
+
+/// Maximum number of times that the lead grows, to 4 days.
+const MAX_LEAD_GROWTHS: u32 = 5;
 
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
 const VM_LIST_WAIT_MS: u64 = 700;
@@ -136,6 +139,13 @@
     pub known_token: Option<u64>,
 }
 
+impl Heartbeat {
+    /// Returns whether the same process sent this heartbeat after `other`.
+    const fn is_later_than(&self, other: &Heartbeat) -> bool {
+        self.incarnation == other.incarnation && self.clock_ms > other.clock_ms
+    }
+}
+
 /// Sender of a message to a peer, and the time of sending.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -224,9 +234,11 @@
     leaving: bool,
     started_at_ms: u64,
     no_claim_before_ms: u64,
-    /// Number of rejections of this VM's tokens in a row while the VM with the higher token was
-    /// unknown.
+    /// Number of rejections of this VM's tokens in a row.
     fenced_in_a_row: u32,
+    /// Number of claims in a row that were rejected at once.
+    rejected_at_once: u32,
+    last_fenced_at_ms: u64,
     /// Highest token that this VM knows of.
     highest_token: u64,
     /// Sorted by name.
@@ -255,6 +267,8 @@
             started_at_ms: now_ms,
             no_claim_before_ms: 0,
             fenced_in_a_row: 0,
+            rejected_at_once: 0,
+            last_fenced_at_ms: 0,
             highest_token: 0,
             peers: Vec::new(),
             vm_list_loaded: false,
@@ -362,6 +376,8 @@
         self.highest_token = tokens.fold(self.highest_token, u64::max);
         let name = &heartbeat.node.name;
         match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
+            // A later heartbeat has overtaken this one, which may contain a released claim.
+            Ok(index) if self.peers[index].heartbeat.is_later_than(&heartbeat) => {}
             Ok(index) => {
                 let peer = &mut self.peers[index];
                 if peer.heartbeat.incarnation != heartbeat.incarnation {
@@ -455,7 +471,7 @@
             Some(KnownClaim {
                 owner: peer.heartbeat.node.name.clone(),
                 token: peer.heartbeat.claim_token?,
-                age_ms: now_ms - peer.last_heartbeat_ms,
+                age_ms: now_ms.saturating_sub(peer.last_heartbeat_ms),
             })
         });
         Heartbeat {
@@ -483,13 +499,18 @@
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
         if let ClaimState::Owner { token, since_ms } = self.claim_state {
-            let lasted_ms = now_ms - since_ms;
-            if lasted_ms >= self.fenced_backoff_ms() * LASTING_CLAIM_FACTOR {
+            let memory_ms = self.fenced_backoff_ms() * REJECTION_MEMORY_FACTOR;
+            if now_ms >= self.last_fenced_at_ms + memory_ms {
                 self.fenced_in_a_row = 0;
             }
-            let lead_ms =
-                FENCED_TOKEN_LEAD_MS << self.fenced_in_a_row.min(MAX_FENCED_LEAD_DOUBLINGS);
+            let lead_growths = self.rejected_at_once.min(MAX_LEAD_GROWTHS);
+            let lead_ms = FENCED_TOKEN_LEAD_MS << (LEAD_GROWTH_SHIFT * lead_growths);
             self.fenced_in_a_row += 1;
+            self.rejected_at_once = match now_ms < since_ms + FENCED_BACKOFF_MS {
+                true => self.rejected_at_once + 1,
+                false => 0,
+            };
+            self.last_fenced_at_ms = now_ms;
             self.highest_token = advance_token(self.highest_token.max(token), lead_ms);
             self.claim_state = ClaimState::Fenced { since_ms: now_ms };
         }
@@ -513,15 +534,15 @@
                 let rival = KnownClaim {
                     owner: claimant.node.name.clone(),
                     token: rival_token,
-                    age_ms: now_ms - peer.last_heartbeat_ms,
+                    age_ms: now_ms.saturating_sub(peer.last_heartbeat_ms),
                 };
                 self.claim_state = ClaimState::Follower;
                 Some(OwnershipChange::Released { token, rival })
             }
             ClaimState::Fenced { since_ms } => {
-                if self.has_live_owner(now_ms) {
-                    self.fenced_in_a_row = 0;
-                } else if now_ms < since_ms + self.fenced_backoff_ms() {
+                let is_owner_known =
+                    self.has_live_owner(now_ms) || self.reported_owner(now_ms).is_some();
+                if !is_owner_known && now_ms < since_ms + self.fenced_backoff_ms() {
                     return None;
                 }
                 self.claim_state = ClaimState::Follower;
@@ -607,7 +628,7 @@
     fn is_reported_alive(&self, owner: &PeerState, now_ms: u64) -> bool {
         let name = &owner.heartbeat.node.name;
         self.peers.iter().any(|peer| {
-            let heartbeat_age_ms = now_ms - peer.last_heartbeat_ms;
+            let heartbeat_age_ms = now_ms.saturating_sub(peer.last_heartbeat_ms);
             peer.heartbeat.known_claims.iter().any(|claim| {
                 claim.owner == *name
                     && Some(claim.token) >= owner.heartbeat.claim_token
--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -39,7 +39,7 @@
             let node = member.node.as_ref().filter(|node| node.zone == local_node.zone)?;
             let is_outdated = self
                 .find_peer(&claim.owner)
-                .is_some_and(|peer| now_ms - peer.last_heartbeat_ms <= age_ms);
+                .is_some_and(|peer| now_ms.saturating_sub(peer.last_heartbeat_ms) <= age_ms);
             let owner = ReportedOwner { node, token: claim.token, age_ms, reported_by };
             (!is_outdated).then_some(owner)
         });
@@ -68,7 +68,7 @@
     fn recent_reports(&self, now_ms: u64) -> impl Iterator<Item = (&KnownClaim, u64, &str)> {
         let alive = self.peers().iter().filter(move |peer| peer.is_alive(now_ms));
         alive.flat_map(move |peer| {
-            let heartbeat_age_ms = now_ms - peer.last_heartbeat_ms;
+            let heartbeat_age_ms = now_ms.saturating_sub(peer.last_heartbeat_ms);
             let name = peer.heartbeat.node.name.as_str();
             peer.heartbeat.known_claims.iter().filter_map(move |claim| {
                 let age_ms = heartbeat_age_ms.saturating_add(claim.age_ms);
