--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -37,6 +37,7 @@
 mod ownership;
 mod peer_clock;
 mod recipients;
+mod rejections;
 mod rendezvous;
 mod reports;
 mod view;
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -10,7 +10,7 @@
 use ggb_model::{Zone, advance_token, claim_token};
 use serde::{Deserialize, Serialize};
 
-use crate::{Members, PeerClock, members::MEMBER_RETENTION_MS};
+use crate::{Members, PeerClock, members::MEMBER_RETENTION_MS, rejections::Rejections};
 
 /// Interval between the heartbeats of the VMs of one zone.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 100;
@@ -33,39 +33,10 @@
 /// no heartbeats.
 const ISOLATED_BACKOFF_MS: u64 = 5_000;
 
-/// Time for which a VM waits, after a target rejected its token, for the heartbeat of the VM with
-/// the higher token. Doubled for each rejection after the first [`EARLY_REJECTIONS`] while that VM stays
-/// unknown.
-const FENCED_BACKOFF_MS: u64 = 250;
-
-/// Number of rejections in a row that may be due to the token of an owner that no longer exists.
-const EARLY_REJECTIONS: u32 = 3;
-
-/// Maximum number of times that [`FENCED_BACKOFF_MS`] is doubled, to 16 s. An unknown owner may have
-/// been lost meanwhile, so that a zone must not be left alone for longer.
-const MAX_FENCED_BACKOFF_DOUBLINGS: u32 = 6;
-
-/// Minimum time since the last rejection, as a multiple of the wait after it, after which a rejection
-/// counts as the first one. Two owners that supersede each other in turn are rejected after about
-/// twice their wait.
-const REJECTION_MEMORY_FACTOR: u64 = 8;
-
 /// Time for which a VM waits for an owner's heartbeat after its start: one interval and the
 /// network delay.
 const STARTUP_WAIT_MS: u64 = 130;
 
-/// Time by which the token of the next claim is ahead of one that a target rejected in favor of an
-/// unknown higher one. Tokens derive from the clocks of VMs, which may differ by seconds.
-const FENCED_TOKEN_LEAD_MS: u64 = 10_000;
-
-/// Binary logarithm of the factor by which [`FENCED_TOKEN_LEAD_MS`] grows with each claim in a row that
-/// was rejected at once. The higher token of such a claim may be that of a lost owner, far ahead of all
-/// clocks; owners that supersede each other must not take their tokens there.
-const LEAD_GROWTH_SHIFT: u32 = 3;
-
-/// Maximum number of times that the lead grows, to 4 days.
-const MAX_LEAD_GROWTHS: u32 = 5;
-
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
 const VM_LIST_WAIT_MS: u64 = 700;
 
@@ -234,11 +205,7 @@
     leaving: bool,
     started_at_ms: u64,
     no_claim_before_ms: u64,
-    /// Number of rejections of this VM's tokens in a row.
-    fenced_in_a_row: u32,
-    /// Number of claims in a row that were rejected at once.
-    rejected_at_once: u32,
-    last_fenced_at_ms: u64,
+    rejections: Rejections,
     /// Highest token that this VM knows of.
     highest_token: u64,
     /// Sorted by name.
@@ -266,9 +233,7 @@
             leaving: false,
             started_at_ms: now_ms,
             no_claim_before_ms: 0,
-            fenced_in_a_row: 0,
-            rejected_at_once: 0,
-            last_fenced_at_ms: 0,
+            rejections: Rejections::default(),
             highest_token: 0,
             peers: Vec::new(),
             vm_list_loaded: false,
@@ -499,18 +464,7 @@
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
         if let ClaimState::Owner { token, since_ms } = self.claim_state {
-            let memory_ms = self.fenced_backoff_ms() * REJECTION_MEMORY_FACTOR;
-            if now_ms >= self.last_fenced_at_ms + memory_ms {
-                self.fenced_in_a_row = 0;
-            }
-            let lead_growths = self.rejected_at_once.min(MAX_LEAD_GROWTHS);
-            let lead_ms = FENCED_TOKEN_LEAD_MS << (LEAD_GROWTH_SHIFT * lead_growths);
-            self.fenced_in_a_row += 1;
-            self.rejected_at_once = match now_ms < since_ms + FENCED_BACKOFF_MS {
-                true => self.rejected_at_once + 1,
-                false => 0,
-            };
-            self.last_fenced_at_ms = now_ms;
+            let lead_ms = self.rejections.record(since_ms, now_ms);
             self.highest_token = advance_token(self.highest_token.max(token), lead_ms);
             self.claim_state = ClaimState::Fenced { since_ms: now_ms };
         }
@@ -542,7 +496,7 @@
             ClaimState::Fenced { since_ms } => {
                 let is_owner_known =
                     self.has_live_owner(now_ms) || self.reported_owner(now_ms).is_some();
-                if !is_owner_known && now_ms < since_ms + self.fenced_backoff_ms() {
+                if !is_owner_known && now_ms < since_ms + self.rejections.backoff_ms() {
                     return None;
                 }
                 self.claim_state = ClaimState::Follower;
@@ -562,12 +516,6 @@
         }
     }
 
-    /// Returns how long this VM waits after the last rejection of its token.
-    fn fenced_backoff_ms(&self) -> u64 {
-        let repeated = self.fenced_in_a_row.saturating_sub(EARLY_REJECTIONS);
-        FENCED_BACKOFF_MS << repeated.min(MAX_FENCED_BACKOFF_DOUBLINGS)
-    }
-
     /// Returns whether a live owner of this VM's zone is known.
     fn has_live_owner(&self, now_ms: u64) -> bool {
         let owner = self.owner_of(&self.local_node.zone);
