Wait in HttpServer::stop for connections that were just accepted

stop() closed the channel that ends the accepting task and waited until no connection was open. A connection that the task accepted before it noticed was counted only afterwards, so that stop() could return while its request was still to be handled, and its response was never sent. stop() now waits for the accepting task first.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,7 +15,7 @@
 use async_std::{
     io,
     net::{TcpListener, TcpStream},
-    task,
+    task::{self, JoinHandle},
 };
 use error_stack::{Report, ResultExt as _};
 use futures::{
@@ -80,6 +80,8 @@
     local_addr: SocketAddr,
     state: Arc<ServerState>,
     stop: Sender<()>,
+    /// Async task that accepts connections, which ends after [`HttpServer::stop`].
+    accepting: JoinHandle<()>,
 }
 
 impl HttpServer {
@@ -104,8 +106,9 @@
             requests_in_progress: AtomicUsize::new(0),
             close_after_responses: AtomicBool::new(false),
         });
-        task::spawn(accept(listener, limits, Arc::new(handler), Arc::clone(&state)));
-        Ok(HttpServer { local_addr, state, stop })
+        let accepting =
+            task::spawn(accept(listener, limits, Arc::new(handler), Arc::clone(&state)));
+        Ok(HttpServer { local_addr, state, stop, accepting })
     }
 
     /// Returns the address that the server listens on.
@@ -131,6 +134,8 @@
     /// Stops accepting, closes idle connections and waits for the requests in progress.
     pub async fn stop(self) {
         self.stop.close();
+        // Before it ends, a connection that was just accepted may not be counted as open yet.
+        self.accepting.await;
         while self.state.open_connections.load(Ordering::SeqCst) > 0 {
             task::sleep(Duration::from_millis(STOP_POLL_MS)).await;
         }
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -1,6 +1,13 @@
 //! Tests of the server and the client over loopback connections.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use async_std::{
     future::timeout,
@@ -18,6 +25,8 @@
 /// Time after which the system sends a delayed acknowledgement.
 const DELAYED_ACKNOWLEDGEMENT_MS: u64 = 40;
 const EXCHANGES: u64 = 50;
+/// Number of stops that a test plays, since only some of them meet a connection.
+const STOPS: u64 = 200;
 
 /// Returns a loopback address with a port chosen by the system.
 fn loopback_addr() -> SocketAddr {
@@ -230,4 +239,36 @@
         stopping.await;
         drop(idle);
     };
+
+    /// A connection counts as open from the time at which it is accepted.
+    stop_waits_for_requests_on_connections_that_were_just_accepted => async {
+        for stop in 0..STOPS {
+            let in_progress = Arc::new(AtomicUsize::new(0));
+            let counter = Arc::clone(&in_progress);
+            let handler = move |_| {
+                let counter = Arc::clone(&counter);
+                async move {
+                    counter.fetch_add(1, Ordering::SeqCst);
+                    task::sleep(Duration::from_millis(20)).await;
+                    counter.fetch_sub(1, Ordering::SeqCst);
+                    json_text_response(StatusCode::Ok, "\"late\"")
+                }
+            };
+            let server =
+                HttpServer::bind(loopback_addr(), ServerLimits::default(), handler).await.unwrap();
+            let addr = server.local_addr();
+            let asking = (0..4).map(|_| task::spawn(async move {
+                let client = HttpClient::new(ClientOptions::default());
+                client.post(addr, "/", b"{}".to_vec(), 10_000).await.is_ok()
+            }));
+            let asking: Vec<_> = asking.collect();
+            task::sleep(Duration::from_micros(5 * stop)).await;
+            server.stop().await;
+            task::sleep(Duration::from_millis(5)).await;
+            assert_eq!(in_progress.load(Ordering::SeqCst), 0, "requests after the stop");
+            for asking in asking {
+                asking.await;
+            }
+        }
+    };
 }
