Answer requests that reach a process while it exits

The caller's request to node 2, which was asked to stop 2.6 s before, was sent at 5345 ms; its run started 3 ms later, the connection ended after 8 ms; the caller sent the job again, and it ran twice.

Cause: drain() looks every 50 ms whether a request is in progress, and the process exits if none is. It accepted connections until its end, so that a request that arrived between the look and the exit was passed on and never answered. So was one whose response was not written yet, since a request counts as in progress only until its response is ready. drain() now stops the server for callers first, which closes idle connections and waits for the others, up to the end of the grace period as before. Event 102 gives the number of requests that are cut off.

stopped_node_that_exits_loses_no_request_that_it_has_passed_on sends short jobs one after the other to two nodes that exit, four times.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -7,7 +7,12 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 mod fleet;
 
-use std::{cell::Cell, fs, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    fs,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use async_std::{net::UdpSocket, task};
 use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, job_state, run_spec};
@@ -35,6 +40,31 @@
     assert!(done.count() >= usize::from(tasks), "job {id}: {run_records:?}");
 }
 
+/// Number of exits of each node that a test plays, since only some of them meet a request.
+const EXITS_PER_NODE: usize = 4;
+
+/// Time for which short jobs are sent to a node that is about to exit.
+const UNTIL_EXIT_MS: u64 = 600;
+
+/// Sends short jobs to a node one after the other; returns those without a response.
+async fn unanswered_until_exit(fleet: &Fleet, node: usize) -> Vec<u64> {
+    let started_at = Instant::now();
+    let mut unanswered = Vec::new();
+    while started_at.elapsed() < Duration::from_millis(UNTIL_EXIT_MS) {
+        let job = rand::random();
+        if fleet.submit(node, job, 1, 1).await.is_none() {
+            unanswered.push(job);
+        }
+        task::sleep(Duration::from_millis(rand::random_range(0..4))).await;
+    }
+    unanswered
+}
+
+fn was_started(fleet: &Fleet, job: u64) -> bool {
+    let id = format!("{job:016x}");
+    fleet.run_records().iter().any(|record| record.run.task.job.as_str() == id)
+}
+
 fn assert_two_crashes_at_most(fleet: &Fleet) {
     let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
     assert!(crashed <= 2, "{crashed} targets crashed");
@@ -295,6 +325,24 @@
         jobs.iter().for_each(|job| assert_done(&fleet, *job, 2));
     }
 
+    stopped_node_that_exits_loses_no_request_that_it_has_passed_on(78, fleet) {
+        for _ in 0..EXITS_PER_NODE {
+            for node in [0, 2] {
+                fleet.wait_until_ready(node).await;
+                fleet.nodes[node].process.signal(Signal::SIGTERM).unwrap();
+            }
+            task::sleep(Duration::from_millis(2_500)).await;
+            let unanswered = join_all([0, 2].map(|node| unanswered_until_exit(&fleet, node))).await;
+            let lost = unanswered.concat().into_iter().filter(|job| was_started(&fleet, *job));
+            let lost: Vec<u64> = lost.collect();
+            assert!(lost.is_empty(), "started and not answered: {lost:x?}");
+            for node in [0, 2] {
+                fleet.nodes[node].process.kill();
+                fleet.nodes[node].process.restart().unwrap();
+            }
+        }
+    }
+
     jobs_complete_when_the_owner_of_their_zone_is_killed(59, fleet) {
         let jobs: Vec<u64> = (0..6).collect();
         let answers = join_all(jobs.iter().map(|job| fleet.submit(1, *job, 1, 900)));
--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -287,8 +287,9 @@
 /// * 1000: jobs that crash the targets that start them.
 /// * 1039: a task ends just before its target crashes, then runs beside a task that crashes the
 ///   next one; its job must not fail for that.
+/// * 1080: a request reaches a node that is about to exit after a planned stop.
 /// * 2000: connections that go silent while new ones work.
-const SEEDS: [u64; 8] = [1, 2, 4, 201, 312, 1_000, 1_039, 2_000];
+const SEEDS: [u64; 9] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use error_stack::{Report, ResultExt as _};
 use ggb_adapter::NodeSettings;
 use ggb_control::MonotonicClock;
@@ -153,7 +153,8 @@
         self.settings_file.reload();
     }
 
-    /// Shuts the process down: releases the targets and waits for open requests.
+    /// Shuts the process down: releases the targets, stops accepting requests once none is open, and
+    /// waits for the responses to those that arrived meanwhile.
     ///
     /// Returns when no request is open, or shortly before the platform's grace period ends.
     pub async fn drain(self) {
@@ -172,12 +173,15 @@
             }
             task::sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
         }
+        let left_ms = max_drain_ms.saturating_sub(self.shared.draining_ms().unwrap_or(0));
+        timeout(Duration::from_millis(left_ms), self.callers.stop()).await.ok();
+        let cut_off = self.shared.open_requests.list();
         let now_ms = self.shared.now_ms();
-        for request in self.shared.open_requests.list() {
+        for request in &cut_off {
             let waited_ms = now_ms - request.received_at_ms;
             log_event!(warn, RequestCutOff, job = %request.job, waited_ms);
         }
-        log_event!(info, DrainEnded, requests = self.callers.requests_in_progress());
+        log_event!(info, DrainEnded, requests = cut_off.len());
     }
 
     fn release_ownership(&self) {
