Share the wait for unused targets between the tests of a node

Three tests of node.rs repeated the loop that waits until a job leaves the targets of the first zone unused. No check changes: the jobs, the node and the comparison of the records before and after are as they were.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -40,6 +40,21 @@
     assert!(done.count() >= usize::from(tasks), "job {id}: {run_records:?}");
 }
 
+/// Waits until a job that a node completes leaves the targets of the first zone, `targets`, unused.
+async fn wait_until_unused(fleet: &Fleet, targets: &str, node: usize, tasks: u16, work_ms: u64) {
+    let records = || {
+        let of_zone = fleet.targets[..2].iter();
+        of_zone.map(|target| target.standin.records().len()).sum::<usize>()
+    };
+    fleet
+        .wait_until(&format!("a job leaves {targets} unused"), || async {
+            let before = records();
+            let reply = fleet.submit(node, rand::random(), tasks, work_ms).await;
+            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
+        })
+        .await;
+}
+
 /// Number of exits of each node that a test plays, since only some of them meet a request.
 const EXITS_PER_NODE: usize = 4;
 
@@ -295,15 +310,7 @@
             fleet.list_target(target, "draining");
         }
         for node in 0..4 {
-            fleet.wait_until("a job leaves the draining targets unused", || async {
-                let records = || {
-                    let of_zone = fleet.targets[..2].iter();
-                    of_zone.map(|target| target.standin.records().len()).sum::<usize>()
-                };
-                let before = records();
-                let reply = fleet.submit(node, rand::random(), 2, 30).await;
-                reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
-            }).await;
+            wait_until_unused(&fleet, "the draining targets", node, 2, 30).await;
         }
         for (node, name) in fleet.nodes.iter_mut().zip(["0-1", "0-2", "1-1", "1-2"]) {
             assert_eq!(node.process.exit_code(), None);
@@ -434,29 +441,14 @@
         }).await;
         let shrunk = Capacity { cpu_milli: 1_000, memory_mb: 64, gpus: 0 };
         (0..2).for_each(|target| fleet.list_target_with_capacity(target, shrunk));
-        fleet.wait_until("a job leaves the shrunk targets of its zone unused", || async {
-            let records = || {
-                let of_zone = fleet.targets[..2].iter();
-                of_zone.map(|target| target.standin.records().len()).sum::<usize>()
-            };
-            let before = records();
-            let reply = fleet.submit(0, rand::random(), 1, 10).await;
-            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
-        }).await;
+        wait_until_unused(&fleet, "the shrunk targets of its zone", 0, 1, 10).await;
     }
 
     zone_without_ready_targets_runs_jobs_in_the_other_zone(63, fleet) {
         for target in 0..2 {
             fleet.list_target(target, "draining");
         }
-        fleet.wait_until("a job leaves the zone's own targets unused", || async {
-            let before = fleet.targets[0].standin.records().len()
-                + fleet.targets[1].standin.records().len();
-            let reply = fleet.submit(0, rand::random(), 1, 10).await;
-            let after = fleet.targets[0].standin.records().len()
-                + fleet.targets[1].standin.records().len();
-            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == after
-        }).await;
+        wait_until_unused(&fleet, "the zone's own targets", 0, 1, 10).await;
         assert_completed(fleet.submit(0, 5, 2, 50).await);
         assert_done(&fleet, 5, 2);
     }
