--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -7,7 +7,12 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 mod fleet;
 
-use std::{cell::Cell, fs, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    fs,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use async_std::{net::UdpSocket, task};
 use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, job_state, run_spec};
@@ -35,6 +40,46 @@
     assert!(done.count() >= usize::from(tasks), "job {id}: {run_records:?}");
 }
 
+/// Waits until a job that a node completes leaves the targets of the first zone, `targets`, unused.
+async fn wait_until_unused(fleet: &Fleet, targets: &str, node: usize, tasks: u16, work_ms: u64) {
+    let records = || {
+        let of_zone = fleet.targets[..2].iter();
+        of_zone.map(|target| target.standin.records().len()).sum::<usize>()
+    };
+    fleet
+        .wait_until(&format!("a job leaves {targets} unused"), || async {
+            let before = records();
+            let reply = fleet.submit(node, rand::random(), tasks, work_ms).await;
+            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
+        })
+        .await;
+}
+
+/// Number of exits of each node that a test plays, since only some of them meet a request.
+const EXITS_PER_NODE: usize = 4;
+
+/// Time for which short jobs are sent to a node that is about to exit.
+const UNTIL_EXIT_MS: u64 = 600;
+
+/// Sends short jobs to a node one after the other; returns those without a response.
+async fn unanswered_until_exit(fleet: &Fleet, node: usize) -> Vec<u64> {
+    let started_at = Instant::now();
+    let mut unanswered = Vec::new();
+    while started_at.elapsed() < Duration::from_millis(UNTIL_EXIT_MS) {
+        let job = rand::random();
+        if fleet.submit(node, job, 1, 1).await.is_none() {
+            unanswered.push(job);
+        }
+        task::sleep(Duration::from_millis(rand::random_range(0..4))).await;
+    }
+    unanswered
+}
+
+fn was_started(fleet: &Fleet, job: u64) -> bool {
+    let id = format!("{job:016x}");
+    fleet.run_records().iter().any(|record| record.run.task.job.as_str() == id)
+}
+
 fn assert_two_crashes_at_most(fleet: &Fleet) {
     let crashed = fleet.run_records().iter().filter(|record| record.end == RunEnd::Lost).count();
     assert!(crashed <= 2, "{crashed} targets crashed");
@@ -265,15 +310,7 @@
             fleet.list_target(target, "draining");
         }
         for node in 0..4 {
-            fleet.wait_until("a job leaves the draining targets unused", || async {
-                let records = || {
-                    let of_zone = fleet.targets[..2].iter();
-                    of_zone.map(|target| target.standin.records().len()).sum::<usize>()
-                };
-                let before = records();
-                let reply = fleet.submit(node, rand::random(), 2, 30).await;
-                reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
-            }).await;
+            wait_until_unused(&fleet, "the draining targets", node, 2, 30).await;
         }
         for (node, name) in fleet.nodes.iter_mut().zip(["0-1", "0-2", "1-1", "1-2"]) {
             assert_eq!(node.process.exit_code(), None);
@@ -295,6 +332,24 @@
         jobs.iter().for_each(|job| assert_done(&fleet, *job, 2));
     }
 
+    stopped_node_that_exits_loses_no_request_that_it_has_passed_on(78, fleet) {
+        for _ in 0..EXITS_PER_NODE {
+            for node in [0, 2] {
+                fleet.wait_until_ready(node).await;
+                fleet.nodes[node].process.signal(Signal::SIGTERM).unwrap();
+            }
+            task::sleep(Duration::from_millis(2_500)).await;
+            let unanswered = join_all([0, 2].map(|node| unanswered_until_exit(&fleet, node))).await;
+            let lost = unanswered.concat().into_iter().filter(|job| was_started(&fleet, *job));
+            let lost: Vec<u64> = lost.collect();
+            assert!(lost.is_empty(), "started and not answered: {lost:x?}");
+            for node in [0, 2] {
+                fleet.nodes[node].process.kill();
+                fleet.nodes[node].process.restart().unwrap();
+            }
+        }
+    }
+
     jobs_complete_when_the_owner_of_their_zone_is_killed(59, fleet) {
         let jobs: Vec<u64> = (0..6).collect();
         let answers = join_all(jobs.iter().map(|job| fleet.submit(1, *job, 1, 900)));
@@ -412,29 +467,14 @@
         }).await;
         let shrunk = Capacity { cpu_milli: 1_000, memory_mb: 64, gpus: 0 };
         (0..2).for_each(|target| fleet.list_target_with_capacity(target, shrunk));
-        fleet.wait_until("a job leaves the shrunk targets of its zone unused", || async {
-            let records = || {
-                let of_zone = fleet.targets[..2].iter();
-                of_zone.map(|target| target.standin.records().len()).sum::<usize>()
-            };
-            let before = records();
-            let reply = fleet.submit(0, rand::random(), 1, 10).await;
-            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == records()
-        }).await;
+        wait_until_unused(&fleet, "the shrunk targets of its zone", 0, 1, 10).await;
     }
 
     zone_without_ready_targets_runs_jobs_in_the_other_zone(63, fleet) {
         for target in 0..2 {
             fleet.list_target(target, "draining");
         }
-        fleet.wait_until("a job leaves the zone's own targets unused", || async {
-            let before = fleet.targets[0].standin.records().len()
-                + fleet.targets[1].standin.records().len();
-            let reply = fleet.submit(0, rand::random(), 1, 10).await;
-            let after = fleet.targets[0].standin.records().len()
-                + fleet.targets[1].standin.records().len();
-            reply.is_some_and(|reply| reply.status == StatusCode::Ok) && before == after
-        }).await;
+        wait_until_unused(&fleet, "the zone's own targets", 0, 1, 10).await;
         assert_completed(fleet.submit(0, 5, 2, 50).await);
         assert_done(&fleet, 5, 2);
     }
