--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -329,6 +329,9 @@
     }
 
     processes_of_a_zone_that_restart_while_the_store_is_down_agree_on_one_owner(72, fleet) {
+        fleet.wait_until("the process that stays knows the others", || async {
+            fleet.status(2).await["known_processes"] == json!(3)
+        }).await;
         fleet.store.set_mode(StoreMode::Down);
         for node in [0, 1, 3] {
             fleet.nodes[node].process.kill();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -49,7 +49,7 @@
         Ownership, OwnershipChange, PeerState,
     },
     peer_clock::PeerClock,
-    recipients::{MAX_ZONE_MEMBERS, Recipient, Recipients},
+    recipients::{MAX_HEARTBEAT_BYTES, MAX_ZONE_MEMBERS, Recipient, Recipients},
     rendezvous::rank_by_rendezvous,
     reports::ReportedOwner,
     view::{MembershipView, Role, Vm, VmState},
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -160,17 +160,13 @@
         });
     }
 
-    /// Returns up to `count` processes of `zones` to which this one introduces itself now, and
-    /// counts the introductions.
-    pub(crate) fn take_introductions(
-        &mut self,
-        count: usize,
-        is_due: impl Fn(&Node) -> bool,
-    ) -> Vec<IpAddr> {
+    /// Returns up to `count` processes of zones other than `own_zone` to which this one introduces
+    /// itself now, and counts the introductions.
+    pub(crate) fn take_introductions(&mut self, count: usize, own_zone: &Zone) -> Vec<IpAddr> {
         let due = self.members.iter_mut().filter(|member| {
             !member.was_heard
                 && member.introductions < MAX_INTRODUCTIONS
-                && member.node.as_ref().is_some_and(&is_due)
+                && member.node.as_ref().is_some_and(|node| node.zone != *own_zone)
         });
         let mut due: Vec<&mut Member> = due.collect();
         due.sort_by_key(|member| member.introductions);
--- a/crates/membership/src/recipients.rs
+++ b/crates/membership/src/recipients.rs
@@ -23,6 +23,9 @@
 /// for seconds.
 const REPORTED_MEMBER_MS: u64 = 30_000;
 
+/// Maximum size of a heartbeat, well within the limit of a datagram.
+pub const MAX_HEARTBEAT_BYTES: usize = 8_192;
+
 /// Maximum number of members in a heartbeat, each of some 80 bytes, so that it stays well below the
 /// limit of a datagram.
 pub const MAX_ZONE_MEMBERS: usize = 16;
@@ -107,7 +110,7 @@
             selected.push(Recipient { ip: member.ip, zone_members });
         }
         if recipients != Recipients::RemoteOwners && round.is_some() && !is_owner {
-            selected.extend(self.introductions(now_ms));
+            selected.extend(self.introductions());
         }
         selected
     }
@@ -128,15 +131,11 @@
         Some(Recipient { ip: node.ip, zone_members })
     }
 
-    /// Returns addresses in zones of which no process is heard. A process of such a zone may not
-    /// know of this one.
-    fn introductions(&mut self, now_ms: u64) -> Vec<Recipient> {
-        let alive = self.peers().iter().filter(|peer| peer.is_alive(now_ms));
-        let mut heard_zones: Vec<_> = alive.map(|peer| peer.heartbeat.node.zone.clone()).collect();
-        heard_zones.push(self.local_node().zone.clone());
-        heard_zones.sort_unstable();
-        let is_due = |node: &Node| heard_zones.binary_search(&node.zone).is_err();
-        let ips = self.members_mut().take_introductions(MAX_INTRODUCTIONS_PER_ROUND, is_due);
+    /// Returns addresses in other zones of which no heartbeat has arrived. The next owner of such a
+    /// zone may not know of this process.
+    fn introductions(&mut self) -> Vec<Recipient> {
+        let own_zone = self.local_node().zone.clone();
+        let ips = self.members_mut().take_introductions(MAX_INTRODUCTIONS_PER_ROUND, &own_zone);
         ips.into_iter().map(|ip| Recipient { ip, zone_members: Vec::new() }).collect()
     }
 
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -180,6 +180,8 @@
         let mut ownership = process(&node("a", 1), 1);
         let remote: Vec<Node> = (0..40).map(|number| node("b", number)).collect();
         ownership.set_vm_list(&remote);
+        // A process that is heard does not stand for the others of its zone.
+        ownership.record_heartbeat(heartbeat(&node("b", 99)), 0);
         let mut sent = vec![0; remote.len()];
         for round in 0..100 {
             let recipients = Recipients::of_round(round);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -240,6 +240,7 @@
             "zone": self.0.settings.zone,
             "claim": ownership.claim_token(),
             "owner": owner.map(|owner| &owner.heartbeat.node.name),
+            "known_processes": ownership.members().as_slice().len(),
             "configuration_version": configuration.as_ref().map(|current| current.version),
         })
     }
