Ignore heartbeats of zones that the settings do not list

The settings have no name of the deployment, but list its zones; a heartbeat from another zone is ignored and logged (event 1 line for each change of the sender). Settings without zones ignore nothing. Deployments with the same names of zones are not told apart, as decision 0008 says.

Evidence: the new test in node.rs, with the check taken out: "the foreign process got a heartbeat".

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -13,7 +13,7 @@
 use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, job_state, run_spec};
 use futures::future::join_all;
 use ggb_http::Reply;
-use ggb_membership::{Node, Ownership};
+use ggb_membership::{MAX_HEARTBEAT_BYTES, Node, Ownership};
 use ggb_placement::{Capacity, RunEnd};
 use ggb_standin::{Endpoints, Relay, RunRecord, RunSpec, StoreMode};
 use http_types::{Method, StatusCode};
@@ -357,6 +357,30 @@
         }
     }
 
+    process_of_a_zone_outside_the_settings_gets_no_heartbeats(73, fleet) {
+        let node = SocketAddr::new(fleet.nodes[0].ip, PEER_PORT);
+        let peer = |name: &str, host: u8, zone: &str| Node {
+            name: name.to_owned(),
+            ip: format!("127.73.0.{host}").parse().unwrap(),
+            zone: zone.parse().unwrap(),
+            cpu_milli: 1,
+        };
+        let foreign = peer("foreign", 8, "elsewhere");
+        let known = peer("known", 9, "zone-0");
+        let foreign_socket = UdpSocket::bind((foreign.ip, PEER_PORT)).await.unwrap();
+        let known_socket = UdpSocket::bind((known.ip, PEER_PORT)).await.unwrap();
+        // Heartbeats are answered in the order of their arrival.
+        for (socket, peer) in [(&foreign_socket, &foreign), (&known_socket, &known)] {
+            let heartbeat = Ownership::new(peer.clone(), 7, 0).heartbeat(0);
+            socket.send_to(&serde_json::to_vec(&heartbeat).unwrap(), node).await.unwrap();
+        }
+        let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
+        known_socket.recv_from(&mut buffer).await.unwrap();
+        let received = foreign_socket.recv_from(&mut buffer);
+        let received = async_std::future::timeout(Duration::from_millis(1), received).await;
+        assert!(received.is_err(), "the foreign process got a heartbeat");
+    }
+
     delayed_job_from_a_peer_is_not_taken(65, fleet) {
         let peer = Node {
             name: "peer".to_owned(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,7 +12,8 @@
 use ggb_adapter::Row;
 use ggb_control::unix_time_ms;
 use ggb_membership::{
-    HEARTBEAT_INTERVAL_MS, Heartbeat, Node, Ownership, OwnershipChange, Recipient, Recipients,
+    HEARTBEAT_INTERVAL_MS, Heartbeat, MAX_HEARTBEAT_BYTES, Node, Ownership, OwnershipChange,
+    Recipient, Recipients,
 };
 use ggb_placement::{Load, TargetLoss};
 use ggb_telemetry::log_event;
@@ -31,9 +32,6 @@
 /// has free capacity.
 const MIN_LOAD_INTERVAL_MS: u64 = 5;
 
-/// Maximum size of a heartbeat, well within the limit of a datagram.
-const MAX_HEARTBEAT_BYTES: usize = 8_192;
-
 /// Maximum number of losses of targets in a heartbeat; each takes some 120 bytes.
 const MAX_HEARTBEAT_LOSSES: usize = 16;
 
@@ -122,6 +120,7 @@
 
 async fn receive_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
+    let mut last_foreign = None;
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // The error only means that an earlier datagram could not be delivered, so receiving
@@ -129,6 +128,13 @@
             continue;
         };
         match serde_json::from_slice::<HeartbeatMessage>(&buffer[..length]) {
+            Ok(HeartbeatMessage { heartbeat, .. }) if !is_zone_known(&shared, &heartbeat.node) => {
+                let Node { name, zone, .. } = heartbeat.node;
+                if last_foreign.replace(from) != Some(from) {
+                    let error = "its zone is not in the settings";
+                    log_event!(warn, PeerMessageInvalid, peer = %from, name, zone = %zone, error);
+                }
+            }
             Ok(HeartbeatMessage { heartbeat, target_losses }) => {
                 if !target_losses.is_empty() {
                     shared.merge_target_losses(&target_losses);
@@ -142,6 +148,14 @@
     }
 }
 
+/// Returns whether the settings list the zone of a process. At an address that was given away another
+/// deployment may run.
+fn is_zone_known(shared: &Shared, node: &Node) -> bool {
+    let zones = &shared.live_settings().zones;
+    // The list contains the own zone even if the settings have none.
+    zones.len() == 1 || zones.binary_search(&node.zone).is_ok()
+}
+
 /// Records a heartbeat, and acts on its load, claim and configuration version.
 async fn handle_heartbeat(shared: &Arc<Shared>, socket: &UdpSocket, heartbeat: Heartbeat) {
     let name = heartbeat.node.name.clone();
