--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,9 +6,9 @@
 //! the process itself, which take precedence, and *leaving* is final for one incarnation of a VM.
 //! A view only directs new work; it does not decide whether work may start.
 //!
-//! [`Ownership`] elects the VM that controls the targets of an availability zone, and
-//! [`Members`] are the processes that it exchanges heartbeats with, and
-//! [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
+//! [`Ownership`] elects the VM that controls the targets of an availability zone. Its claim carries a
+//! fencing token that no other VM derives. [`Members`] are the processes that it exchanges heartbeats
+//! with, and [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
 //! without coordination.
 //!
 //! # Example
@@ -37,6 +37,7 @@
 mod ownership;
 mod peer_clock;
 mod recipients;
+mod rejections;
 mod rendezvous;
 mod reports;
 mod view;
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -7,10 +7,10 @@
 
 use std::net::IpAddr;
 
-use ggb_model::Zone;
+use ggb_model::{Zone, advance_token, claim_token};
 use serde::{Deserialize, Serialize};
 
-use crate::{Members, PeerClock, members::MEMBER_RETENTION_MS};
+use crate::{Members, PeerClock, members::MEMBER_RETENTION_MS, rejections::Rejections};
 
 /// Interval between the heartbeats of the VMs of one zone.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 100;
@@ -33,20 +33,10 @@
 /// no heartbeats.
 const ISOLATED_BACKOFF_MS: u64 = 5_000;
 
-/// Time for which a VM waits, after a target rejected its token, for the heartbeat of the VM with
-/// the higher token.
-const FENCED_BACKOFF_MS: u64 = 250;
-
 /// Time for which a VM waits for an owner's heartbeat after its start: one interval and the
 /// network delay.
 const STARTUP_WAIT_MS: u64 = 130;
 
-/// Increment of the token after a target rejected it in favor of an unknown higher one.
-///
-/// Tokens derive from the Unix time of the VM that claims. The clocks of VMs may differ by seconds,
-/// so the increment corresponds to 10 seconds.
-const FENCED_TOKEN_INCREMENT: u64 = 10_000 * TOKENS_PER_MS;
-
 /// Time for which a VM without any heartbeat waits for the list of VMs before it claims.
 const VM_LIST_WAIT_MS: u64 = 700;
 
@@ -63,10 +53,6 @@
 /// Minimum uptime of a VM that supersedes an owner with a smaller CPU share.
 const SUPERSEDE_OWNER_MIN_UPTIME_MS: u64 = 1_500;
 
-/// Number of tokens per millisecond of Unix time; the address of a VM selects one of them, so that
-/// VMs that claim in the same millisecond usually get different tokens.
-const TOKENS_PER_MS: u64 = 1_000;
-
 /// An entry VM as it describes itself to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,6 +104,17 @@
     /// Processes of the recipient's zone that the sender itself has heard.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub zone_members: Vec<Node>,
+    /// Highest token that the sender knows, for a recipient that may have made a claim before it
+    /// started.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_token: Option<u64>,
+}
+
+impl Heartbeat {
+    /// Returns whether the same process sent this heartbeat after `other`.
+    const fn is_later_than(&self, other: &Heartbeat) -> bool {
+        self.incarnation == other.incarnation && self.clock_ms > other.clock_ms
+    }
 }
 
 /// Sender of a message to a peer, and the time of sending.
@@ -172,6 +169,7 @@
     Follower,
     Owner {
         token: u64,
+        since_ms: u64,
     },
     /// A target rejected the token of the claim as too low.
     Fenced {
@@ -207,6 +205,7 @@
     leaving: bool,
     started_at_ms: u64,
     no_claim_before_ms: u64,
+    rejections: Rejections,
     /// Highest token that this VM knows of.
     highest_token: u64,
     /// Sorted by name.
@@ -226,7 +225,7 @@
     /// `incarnation` must differ from that of every earlier process of this VM.
     pub fn new(local_node: Node, incarnation: u64, now_ms: u64) -> Self {
         // Processes that list the members of the same zone begin with different parts.
-        let list_turn = ip_low_bits(local_node.ip) as usize;
+        let list_turn = incarnation as usize;
         Ownership {
             local_node,
             incarnation,
@@ -234,6 +233,7 @@
             leaving: false,
             started_at_ms: now_ms,
             no_claim_before_ms: 0,
+            rejections: Rejections::default(),
             highest_token: 0,
             peers: Vec::new(),
             vm_list_loaded: false,
@@ -258,6 +258,10 @@
         &self.members
     }
 
+    pub(crate) const fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
     pub(crate) const fn members_mut(&mut self) -> &mut Members {
         &mut self.members
     }
@@ -287,7 +291,7 @@
     /// Returns the token of this VM's claim, or `None` if it is not the owner.
     pub const fn claim_token(&self) -> Option<u64> {
         match self.claim_state {
-            ClaimState::Owner { token } => Some(token),
+            ClaimState::Owner { token, .. } => Some(token),
             ClaimState::Follower | ClaimState::Fenced { .. } => None,
         }
     }
@@ -332,11 +336,13 @@
                 self.members.add_reported(&node, now_ms);
             }
         }
-        let tokens =
-            heartbeat.known_claims.iter().map(|claim| claim.token).chain(heartbeat.claim_token);
+        let claims = heartbeat.known_claims.iter().map(|claim| claim.token);
+        let tokens = claims.chain(heartbeat.claim_token).chain(heartbeat.known_token);
         self.highest_token = tokens.fold(self.highest_token, u64::max);
         let name = &heartbeat.node.name;
         match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
+            // A later heartbeat has overtaken this one, which may contain a released claim.
+            Ok(index) if self.peers[index].heartbeat.is_later_than(&heartbeat) => {}
             Ok(index) => {
                 let peer = &mut self.peers[index];
                 if peer.heartbeat.incarnation != heartbeat.incarnation {
@@ -430,7 +436,7 @@
             Some(KnownClaim {
                 owner: peer.heartbeat.node.name.clone(),
                 token: peer.heartbeat.claim_token?,
-                age_ms: now_ms - peer.last_heartbeat_ms,
+                age_ms: now_ms.saturating_sub(peer.last_heartbeat_ms),
             })
         });
         Heartbeat {
@@ -446,6 +452,7 @@
             lacks_vm_list: !self.vm_list_loaded,
             lacks_owner: self.claim_token().is_none() && !self.hears_zone_owner(now_ms),
             zone_members: Vec::new(),
+            known_token: None,
         }
     }
 
@@ -456,8 +463,9 @@
 
     /// Records that a target rejected this VM's token in favor of a higher one.
     pub fn record_fenced(&mut self, now_ms: u64) {
-        if let ClaimState::Owner { token } = self.claim_state {
-            self.highest_token = self.highest_token.max(token) + FENCED_TOKEN_INCREMENT;
+        if let ClaimState::Owner { token, since_ms } = self.claim_state {
+            let lead_ms = self.rejections.record(since_ms, now_ms);
+            self.highest_token = advance_token(self.highest_token.max(token), lead_ms);
             self.claim_state = ClaimState::Fenced { since_ms: now_ms };
         }
     }
@@ -467,7 +475,7 @@
     /// Tokens derive from `unix_ms`, the Unix time; all delays are measured with `now_ms`.
     pub fn tick(&mut self, unix_ms: u64, now_ms: u64) -> Option<OwnershipChange> {
         match self.claim_state {
-            ClaimState::Owner { token } => {
+            ClaimState::Owner { token, .. } => {
                 let peer = self.owner_of(&self.local_node.zone)?;
                 let claimant = &peer.heartbeat;
                 // Targets don't tell apart owners with equal tokens, so that one has to yield.
@@ -480,13 +488,15 @@
                 let rival = KnownClaim {
                     owner: claimant.node.name.clone(),
                     token: rival_token,
-                    age_ms: now_ms - peer.last_heartbeat_ms,
+                    age_ms: now_ms.saturating_sub(peer.last_heartbeat_ms),
                 };
                 self.claim_state = ClaimState::Follower;
                 Some(OwnershipChange::Released { token, rival })
             }
             ClaimState::Fenced { since_ms } => {
-                if now_ms < since_ms + FENCED_BACKOFF_MS {
+                let is_owner_known =
+                    self.has_live_owner(now_ms) || self.reported_owner(now_ms).is_some();
+                if !is_owner_known && now_ms < since_ms + self.rejections.backoff_ms() {
                     return None;
                 }
                 self.claim_state = ClaimState::Follower;
@@ -496,18 +506,22 @@
                 None
             }
             ClaimState::Follower if self.should_claim(now_ms) => {
-                let tie_break = u64::from(ip_low_bits(self.local_node.ip)) % TOKENS_PER_MS;
-                let time_token = unix_ms.saturating_mul(TOKENS_PER_MS) + tie_break;
                 let known_token = self.highest_token;
-                let token = time_token.max(known_token + TOKENS_PER_MS);
+                let token = claim_token(unix_ms, known_token, self.local_node.ip);
                 self.highest_token = token;
-                self.claim_state = ClaimState::Owner { token };
+                self.claim_state = ClaimState::Owner { token, since_ms: now_ms };
                 Some(OwnershipChange::Claimed { token, known_token })
             }
             ClaimState::Follower => None,
         }
     }
 
+    /// Returns whether a live owner of this VM's zone is known.
+    fn has_live_owner(&self, now_ms: u64) -> bool {
+        let owner = self.owner_of(&self.local_node.zone);
+        owner.is_some_and(|owner| owner.is_alive(now_ms))
+    }
+
     /// Returns whether this VM should claim the targets of its zone now.
     fn should_claim(&self, now_ms: u64) -> bool {
         if self.leaving || now_ms < self.no_claim_before_ms {
@@ -562,7 +576,7 @@
     fn is_reported_alive(&self, owner: &PeerState, now_ms: u64) -> bool {
         let name = &owner.heartbeat.node.name;
         self.peers.iter().any(|peer| {
-            let heartbeat_age_ms = now_ms - peer.last_heartbeat_ms;
+            let heartbeat_age_ms = now_ms.saturating_sub(peer.last_heartbeat_ms);
             peer.heartbeat.known_claims.iter().any(|claim| {
                 claim.owner == *name
                     && Some(claim.token) >= owner.heartbeat.claim_token
@@ -594,11 +608,3 @@
 const fn supersedes(candidate: &Node, owner: &Node) -> bool {
     candidate.cpu_milli >= owner.cpu_milli * SUPERSEDE_OWNER_CPU_PERCENT / 100
 }
-
-/// Returns the low 32 bits of an address.
-fn ip_low_bits(ip: IpAddr) -> u32 {
-    match ip {
-        IpAddr::V4(ip) => u32::from(ip),
-        IpAddr::V6(ip) => u128::from(ip) as u32,
-    }
-}
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 
 use ggb_membership::{Heartbeat, KnownClaim, Node, Ownership, OwnershipChange};
+use ggb_model::token_after_restarts;
 
 /// Returns a VM of `zone`; `number` determines its name and address.
 fn node(zone: &str, number: u8, cpu_milli: u64) -> Node {
@@ -29,6 +30,126 @@
     }
 }
 
+/// Returns the token of a VM at `ip` that knows `known_token` from a VM of another zone and then claims its
+/// zone at the Unix time `unix_ms`.
+fn token_claimed_at(ip: [u8; 4], known_token: Option<u64>, unix_ms: u64) -> u64 {
+    let vm = Node { ip: IpAddr::from(ip), ..node("a", 2, 250) };
+    let mut ownership = Ownership::new(vm, 1, 0);
+    ownership.set_vm_list([]);
+    ownership.record_heartbeat(heartbeat(&node("b", 9, 250), known_token), 130);
+    match ownership.tick(unix_ms, 130) {
+        Some(OwnershipChange::Claimed { token, .. }) => token,
+        change => panic!("the VM claims its zone after the startup wait: {change:?}"),
+    }
+}
+
+/// Guards against two owners of a zone that are both obeyed by its targets.
+#[test]
+fn vms_that_know_the_same_token_claim_different_tokens() {
+    let known_token = Some(1_784_377_963_718_782);
+    for unix_ms in [1_784_377_960_000, 1_784_377_968_000] {
+        let first = token_claimed_at([10, 2, 64, 20], known_token, unix_ms);
+        let second = token_claimed_at([10, 2, 64, 22], known_token, unix_ms);
+        assert_ne!(first, second);
+    }
+}
+
+/// Guards against addresses that select the same token among those of one moment.
+#[test]
+fn vms_whose_addresses_differ_by_a_thousand_claim_different_tokens() {
+    let unix_ms = 1_784_377_963_000;
+    let first = token_claimed_at([10, 2, 0, 1], None, unix_ms);
+    assert_ne!(first, token_claimed_at([10, 2, 3, 233], None, unix_ms));
+}
+
+/// Guards against an owner that has seen restarts of a target and takes the token of another owner.
+#[test]
+fn tokens_after_restarts_differ_from_those_of_other_vms() {
+    let unix_ms = 1_784_377_963_000;
+    let first = token_claimed_at([10, 2, 64, 20], None, unix_ms);
+    let second = token_claimed_at([10, 2, 64, 21], None, unix_ms);
+    for (restarts, other) in (0..20).flat_map(|first| (0..20).map(move |other| (first, other))) {
+        assert_ne!(token_after_restarts(first, restarts), token_after_restarts(second, other));
+    }
+}
+
+#[test]
+fn token_exceeds_those_of_former_builds() {
+    let unix_ms = 1_784_377_963_718;
+    assert!(token_claimed_at([10, 2, 64, 20], None, unix_ms) > unix_ms * 1_000 + 10_000_000);
+}
+
+/// Targets of a zone that obey the highest token, and the VMs that claim them without hearing of each
+/// other.
+struct Duel {
+    vms: Vec<Ownership>,
+    obeyed_token: u64,
+}
+
+impl Duel {
+    /// Interval at which an owner requests listings.
+    const LISTING_INTERVAL_MS: u64 = 50;
+
+    fn new(vm_count: u8, obeyed_token: u64) -> Self {
+        let vms = (1..=vm_count).map(|number| Ownership::new(node("a", number, 250), 1, 0));
+        Duel { vms: vms.collect(), obeyed_token }
+    }
+
+    /// Runs until `until_ms`; returns the times at which the targets obeyed a new owner.
+    fn hand_overs_ms(&mut self, until_ms: u64) -> Vec<u64> {
+        let mut hand_overs_ms = Vec::new();
+        for now_ms in (0..until_ms).step_by(Self::LISTING_INTERVAL_MS as usize) {
+            for vm in &mut self.vms {
+                vm.tick(1_784_377_963_000 + now_ms, now_ms);
+                match vm.claim_token() {
+                    Some(token) if token > self.obeyed_token => {
+                        self.obeyed_token = token;
+                        hand_overs_ms.push(now_ms);
+                    }
+                    Some(token) if token < self.obeyed_token => vm.record_fenced(now_ms),
+                    _ => {}
+                }
+            }
+        }
+        hand_overs_ms
+    }
+}
+
+/// Guards against two owners that take a zone from each other several times a second.
+#[test]
+fn owners_that_never_hear_each_other_supersede_each_other_ever_more_rarely() {
+    let hand_overs_ms = Duel::new(2, 0).hand_overs_ms(60_000);
+    assert!(hand_overs_ms.len() <= 20, "{hand_overs_ms:?}");
+}
+
+/// Guards against a zone that nobody serves since a lost owner's token was far ahead of all clocks.
+#[test]
+fn token_far_ahead_of_the_clock_is_exceeded_soon_after_the_first_claim() {
+    for (ahead_s, until_ms) in [(60, 1_000), (3_600, 4_000)] {
+        let mut ahead = Duel::new(1, 0);
+        ahead.hand_overs_ms(2_000);
+        let mut duel = Duel::new(1, ahead.obeyed_token + (ahead_s << 24));
+        let hand_overs_ms = duel.hand_overs_ms(20_000);
+        let is_in_time = |at_ms: u64| at_ms <= 1_130 + until_ms;
+        assert!(matches!(hand_overs_ms[..], [at_ms] if is_in_time(at_ms)), "{hand_overs_ms:?}");
+    }
+}
+
+/// Guards against a zone that nobody serves once its two owners, which never heard each other, are lost.
+#[test]
+fn zone_is_served_soon_after_a_long_duel() {
+    let mut duel = Duel::new(2, 0);
+    duel.hand_overs_ms(60_000);
+    let mut successor = Duel::new(1, duel.obeyed_token - (60 << 24));
+    let hand_overs_ms = successor.hand_overs_ms(20_000);
+    assert!(matches!(hand_overs_ms[..], [at_ms] if at_ms <= 1_130 + 2_000), "{hand_overs_ms:?}");
+}
+
+#[test]
+fn token_at_the_limit_is_not_followed_by_a_low_one() {
+    assert!(token_claimed_at([10, 2, 64, 20], Some(u64::MAX - 5), 0) > u64::MAX >> 1);
+}
+
 #[test]
 fn vm_without_vm_list_delays_its_claim() {
     let mut ownership = Ownership::new(node("a", 2, 250), 1, 0);
@@ -168,7 +289,7 @@
         assert_eq!(ownership.claim_token(), None);
         ownership.record_heartbeat(heartbeat(&node("a", 3, 250), None), 500);
         assert!(first_claim_ms(&mut ownership, 300, 700).is_some());
-        assert!(ownership.claim_token().unwrap() >= before + 10_000_000);
+        assert!(ownership.claim_token().unwrap() >= before + (10 << 24));
     }
 
     isolated_fenced_owner_backs_off(ownership) {
@@ -188,4 +309,63 @@
         ownership.record_heartbeat(heartbeat(&node("a", 1, 250), None), 1_100);
         assert_eq!(first_claim_ms(&mut ownership, 1_100, 2_000), Some(1_100));
     }
+
+    overtaken_heartbeat_does_not_restore_a_released_claim(ownership) {
+        let owner = node("a", 1, 250);
+        let sent_at = |clock_ms, claim| Heartbeat { clock_ms, ..heartbeat(&owner, claim) };
+        ownership.record_heartbeat(sent_at(50, Some(7)), 1_000);
+        ownership.record_heartbeat(sent_at(100, None), 1_050);
+        ownership.record_heartbeat(sent_at(60, Some(7)), 1_060);
+        assert!(ownership.owner_of(&owner.zone).is_none());
+    }
+
+    // Also once its owner, of which this VM never heard, is lost.
+    reported_owner_ends_the_wait_after_rejections(ownership) {
+        ownership.set_vm_list(&[node("a", 1, 250)]);
+        let mut now_ms = reject_claims(&mut ownership, 9);
+        let claim = KnownClaim { owner: "a-1".to_owned(), token: 1 << 52, age_ms: 0 };
+        for _ in 0..10 {
+            now_ms += 100;
+            let known_claims = vec![claim.clone()];
+            let report = Heartbeat { known_claims, ..heartbeat(&node("b", 9, 250), None) };
+            ownership.record_heartbeat(report, now_ms);
+            assert_eq!(ownership.tick(now_ms, now_ms), None);
+        }
+        let claimed_at_ms = first_claim_beside_peer_ms(&mut ownership, now_ms, now_ms + 20_000);
+        assert!(claimed_at_ms.is_some_and(|at_ms| at_ms <= now_ms + 1_000), "{claimed_at_ms:?}");
+    }
+
+    wait_after_a_rejection_is_short_again_after_an_hour(ownership) {
+        let now_ms = reject_claims(&mut ownership, 9) + 3_600_000;
+        let claimed_at_ms = first_claim_beside_peer_ms(&mut ownership, now_ms, now_ms + 1_000);
+        let rejected_at_ms = claimed_at_ms.expect("the wait has passed") + 10;
+        ownership.record_fenced(rejected_at_ms);
+        let claimed_at_ms =
+            first_claim_beside_peer_ms(&mut ownership, rejected_at_ms, rejected_at_ms + 1_000);
+        assert!(claimed_at_ms.is_some_and(|at_ms| at_ms <= rejected_at_ms + 300));
+    }
+}
+
+/// Rejects each claim of a VM that hears a process of another zone 10 ms after it was made, `count` times.
+/// Returns the time of the last rejection.
+fn reject_claims(ownership: &mut Ownership, count: u32) -> u64 {
+    (0..count).fold(0, |from_ms, _| {
+        let claimed_at_ms = first_claim_beside_peer_ms(ownership, from_ms, from_ms + 60_000);
+        let rejected_at_ms = claimed_at_ms.expect("the VM claims its zone") + 10;
+        ownership.record_fenced(rejected_at_ms);
+        rejected_at_ms
+    })
+}
+
+/// Returns the time of the first claim of a VM that hears a process of another zone.
+fn first_claim_beside_peer_ms(
+    ownership: &mut Ownership,
+    from_ms: u64,
+    until_ms: u64,
+) -> Option<u64> {
+    (from_ms..until_ms).step_by(10).find(|now_ms| {
+        ownership.record_heartbeat(heartbeat(&node("b", 9, 250), None), *now_ms);
+        let change = ownership.tick(1_000 + now_ms, *now_ms);
+        matches!(change, Some(OwnershipChange::Claimed { .. }))
+    })
 }
--- a/crates/membership/tests/traffic.rs
+++ b/crates/membership/tests/traffic.rs
@@ -103,13 +103,14 @@
         let heartbeat = ownership.heartbeat(now_ms);
         let bare = serde_json::to_vec(&heartbeat).expect("a heartbeat serializes").len();
         for recipient in recipients {
-            let zone_members = recipient.zone_members.clone();
-            let heartbeat = Heartbeat { zone_members, ..heartbeat.clone() };
+            let heartbeat = recipient.heartbeat(heartbeat.clone());
             let bytes = serde_json::to_vec(&heartbeat).expect("a heartbeat serializes").len();
             assert!(bytes + MAX_LOSS_BYTES <= MAX_HEARTBEAT_BYTES, "{bytes}");
             self.messages += 1;
             self.bytes += bytes;
-            self.list_bytes += bytes - bare;
+            if !recipient.zone_members.is_empty() {
+                self.list_bytes += bytes - bare;
+            }
         }
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -115,9 +115,10 @@
         queue: queue.rules.clone(),
         earlier_runs: EarlierRuns::None,
         run_targets: None,
+        released_under: None,
         part: None,
         excluded_tasks: Vec::new(),
-        holder_token: None,
+        holder: None,
         waited_ms: 0,
         deadline_ms,
         caller_check_age_ms: 0,
@@ -245,12 +246,17 @@
                 }
             };
             match reply {
-                Ok(JobReply::Pending { token }) => {
-                    routed_job.mark_held_by(token);
+                Ok(JobReply::Pending { claim }) => {
+                    routed_job.mark_held_by(claim);
                     continue;
                 }
-                Ok(JobReply::Answered(JobAnswer::Moved { done, earlier_runs, run_targets })) => {
-                    routed_job.mark_moved(done, earlier_runs, run_targets);
+                Ok(JobReply::Answered(JobAnswer::Moved {
+                    done,
+                    earlier_runs,
+                    run_targets,
+                    token,
+                })) => {
+                    routed_job.mark_moved(done, earlier_runs, run_targets, token);
                 }
                 // This owner has not taken the job; what earlier owners reported still holds.
                 Ok(JobReply::Answered(JobAnswer::NotTaken)) => {}
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -3,6 +3,7 @@
 mod action;
 mod admission;
 mod due;
+mod held;
 mod job_state;
 mod lending;
 mod listings;
@@ -12,10 +13,11 @@
 
 use std::sync::Arc;
 
+use ggb_model::token_after_restarts;
 use ggb_telemetry::log_event;
 
 use crate::{
-    JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
+    Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
     TargetInfo, TargetLosses, TargetRun,
     dispatcher::{
         job_state::{JobPhase, JobState},
@@ -39,6 +41,10 @@
 /// Minimum interval between two extra listing requests to the same target.
 const MIN_LISTING_REQUEST_INTERVAL_MS: u64 = 100;
 
+/// Value of [`MIN_LISTING_REQUEST_INTERVAL_MS`] for jobs that arrived after the last request. The jobs
+/// of an owner that steps down arrive within a few ms and then wait for the same targets.
+const MIN_AWAITED_LISTING_INTERVAL_MS: u64 = 5;
+
 #[derive(Debug)]
 struct CachedAnswer {
     job: JobId,
@@ -50,6 +56,8 @@
 /// Schedules jobs on the targets of one zone, of which it is the only owner.
 #[derive(Debug)]
 pub struct Dispatcher {
+    /// The fencing token of the owner.
+    token: u64,
     /// Time at which this dispatcher took over the targets.
     took_over_at_ms: u64,
     /// Time of the last method call that passed a time.
@@ -99,10 +107,11 @@
 impl Dispatcher {
     /// Returns a dispatcher that takes over at `now_ms` and has no targets yet.
     ///
-    /// Parts offloaded to other zones are numbered from `first_part`. No two dispatchers may use
-    /// the same numbers, since other zones cache answers under them.
-    pub const fn new(run_times: RunTimes, first_part: u64, now_ms: u64) -> Self {
+    /// Parts offloaded to other zones are numbered from the identifier of the claim. No two
+    /// dispatchers may use the same numbers, since other zones cache answers under them.
+    pub const fn new(run_times: RunTimes, claim: Claim, now_ms: u64) -> Self {
         Dispatcher {
+            token: claim.token,
             took_over_at_ms: now_ms,
             last_event_at_ms: now_ms,
             resync_since_ms: None,
@@ -119,7 +128,7 @@
             average_cpu_milli: 0,
             remote_zones: Vec::new(),
             offloaded_parts: Vec::new(),
-            next_part: first_part,
+            next_part: claim.id.0,
             lost_runs: 0,
             target_losses: TargetLosses::new(),
         }
@@ -254,6 +263,7 @@
             runs.extend(target.runs().iter().map(|run| (run.run.task.job, target_id)));
         }
         runs.sort_unstable();
+        let token = self.highest_request_token();
         for job in self.jobs.drain(..) {
             let first = runs.partition_point(|(other, _)| *other < job.id());
             let of_job = runs[first..].iter().take_while(|(other, _)| *other == job.id());
@@ -265,6 +275,7 @@
                     done: job.done_tasks(),
                     earlier_runs: job.earlier_runs(),
                     run_targets: run_targets.clone(),
+                    token: Some(token),
                 },
             });
             self.actions.extend(moved);
@@ -273,6 +284,12 @@
         self.offloaded_parts.clear();
     }
 
+    /// Returns the highest token that requests to targets carried.
+    fn highest_request_token(&self) -> u64 {
+        let restarts = self.targets.iter().map(Target::token_offset).max();
+        token_after_restarts(self.token, restarts.unwrap_or(0))
+    }
+
     /// Returns the targets that have runs of a job.
     fn targets_with_runs(&self, job: JobId) -> impl Iterator<Item = Arc<str>> {
         let has_run =
@@ -295,15 +312,18 @@
         let target = &mut self.targets[target_index];
         // A lower offset means that the request was addressed to an earlier incarnation of the
         // target.
-        self.superseded |= outcome == StartOutcome::Fenced && token_offset == target.token_offset();
-        if let Some(clock_ms) = clock_ms {
-            target.update_clock(clock_ms, now_ms);
+        let is_to_current = token_offset == target.token_offset();
+        self.superseded |= outcome == StartOutcome::Fenced && is_to_current;
+        let target_run = target.runs().iter().find(|target_run| target_run.run == run).copied();
+        let sent_at_ms = target_run.map_or(0, |target_run| target_run.start_sent_at_ms);
+        if let Some(clock_ms) = clock_ms.filter(|_| is_to_current)
+            && target.update_clock(clock_ms, sent_at_ms, now_ms)
+        {
+            log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
+            self.request_listing(target_index, now_ms);
         }
-        let Some(target_run) =
-            target.runs().iter().find(|target_run| target_run.run == run).copied()
-        else {
-            return;
-        };
+        let Some(target_run) = target_run else { return };
+        let target = &mut self.targets[target_index];
         match outcome {
             StartOutcome::Accepted if target_run.phase == RunPhase::Ordered => {
                 target.set_phase(run, RunPhase::Running, now_ms);
@@ -439,19 +459,60 @@
 
     /// Requests a listing from a target, unless one was requested a short time ago.
     fn request_listing(&mut self, target_index: usize, now_ms: u64) {
+        let last_ms = self.listing_requested_at_ms(&self.targets[target_index].info().id);
+        if last_ms.is_none_or(|last_ms| now_ms >= last_ms + MIN_LISTING_REQUEST_INTERVAL_MS) {
+            self.push_listing_request(target_index, now_ms);
+        }
+    }
+
+    /// Returns the time of the last extra listing request to a target.
+    fn listing_requested_at_ms(&self, id: &str) -> Option<u64> {
+        let index = self.listing_requests.binary_search_by(|(requested, _)| (**requested).cmp(id));
+        index.ok().map(|index| self.listing_requests[index].1)
+    }
+
+    fn push_listing_request(&mut self, target_index: usize, now_ms: u64) {
         let target = Arc::clone(&self.targets[target_index].info().id);
         match self.listing_requests.binary_search_by(|(requested, _)| requested.cmp(&target)) {
-            Ok(position)
-                if now_ms < self.listing_requests[position].1 + MIN_LISTING_REQUEST_INTERVAL_MS =>
-            {
-                return;
-            }
             Ok(position) => self.listing_requests[position].1 = now_ms,
             Err(position) => self.listing_requests.insert(position, (Arc::clone(&target), now_ms)),
         }
         self.actions.push(Action::RequestListing { target });
     }
 
+    /// Requests the listings that released jobs wait for.
+    fn request_awaited_listings(&mut self, now_ms: u64) {
+        let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
+        let mut awaited: Vec<usize> = Vec::new();
+        for job in queued_jobs {
+            let since_ms = job.arrived_at_ms();
+            let is_awaited = |index: &usize| {
+                let target = &self.targets[*index];
+                !target.is_removed()
+                    && !target.has_listing_since(since_ms)
+                    && self.may_request_awaited_listing(target, since_ms, now_ms)
+            };
+            let run_targets = job.awaited_targets(now_ms).iter();
+            awaited.extend(run_targets.filter_map(|id| self.target_index(id)).filter(is_awaited));
+        }
+        awaited.sort_unstable();
+        awaited.dedup();
+        for target_index in awaited {
+            self.push_listing_request(target_index, now_ms);
+        }
+    }
+
+    /// Returns whether to request a listing for a job that arrived at `since_ms`. The last one that was
+    /// requested does not count if it was requested before that, or if it may be lost.
+    fn may_request_awaited_listing(&self, target: &Target, since_ms: u64, now_ms: u64) -> bool {
+        let Some(last_ms) = self.listing_requested_at_ms(&target.info().id) else { return true };
+        let interval_ms = match last_ms < since_ms {
+            true => MIN_AWAITED_LISTING_INTERVAL_MS,
+            false => MIN_LISTING_REQUEST_INTERVAL_MS,
+        };
+        now_ms >= last_ms + interval_ms
+    }
+
     /// Counts and logs a run that ended without a listed end.
     fn record_lost_run(
         &mut self,
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -6,8 +6,8 @@
 use ggb_telemetry::{log_event, log_job_event};
 
 use crate::{
-    Action, Capacity, Dispatcher, JobAnswer, JobId, RefusalReason, RequestId, StepSpec, Submission,
-    Target,
+    Action, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, RequestId,
+    StepSpec, Submission, Target,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -72,16 +72,27 @@
         if let Some(job) = self.job_mut(id) {
             let was_abandoned = job.phase() == JobPhase::Abandoned;
             job.record_caller_check(submission.caller_checked_at_ms(now_ms));
+            // An owner that this one did not know of has released the job. A submission that this owner
+            // holds already only repeats what is known.
+            let was_released = submission.holder.is_none()
+                && matches!(submission.earlier_runs, EarlierRuns::OwnZone | EarlierRuns::AnyZone);
+            if was_released {
+                job.add_earlier_runs(&submission, now_ms);
+            }
             job.add_request(request, submission.caller_deadline_ms(now_ms));
             if was_abandoned && job.waiting_tasks() > 0 {
                 self.enqueue(id);
             }
+            if was_released {
+                self.exclude_tasks(&submission, now_ms);
+            }
+            self.request_awaited_listings(now_ms);
             self.place_tasks(now_ms);
             return;
         }
         // An owner held the job, but the job is no longer known here: its tasks ran and were
         // stopped when the entry process stopped asking for it.
-        if submission.holder_token.is_some() {
+        if submission.holder.is_some() {
             if submission.part.is_some() {
                 self.actions.push(Action::Answer { request, answer: JobAnswer::Unknown });
                 return;
@@ -111,6 +122,7 @@
                     return;
                 }
                 self.adopt_listed_runs(id, now_ms);
+                self.request_awaited_listings(now_ms);
                 self.place_tasks(now_ms);
             }
             Err((reason, retry_after_ms)) => {
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    EarlierRuns, JobId, Run, StepSpec, Submission, TaskId,
+    EarlierRuns, JobId, LEASE_EXPIRY_MS, Run, StepSpec, Submission, TaskId,
     dispatcher::{QueueEntry, RequestId},
 };
 
@@ -159,6 +159,19 @@
         self.phase = JobPhase::Open;
     }
 
+    /// Records that an earlier dispatcher has released the job, with the runs that it reports.
+    pub(super) fn add_earlier_runs(&mut self, released: &Submission, now_ms: u64) {
+        self.submission.run_targets = released
+            .run_targets
+            .as_ref()
+            .and_then(|targets| self.submission.run_targets_with(targets.iter().cloned()));
+        self.submission.earlier_runs = self.submission.earlier_runs.max(released.earlier_runs);
+        self.submission.released_under =
+            self.submission.released_under.max(released.released_under);
+        self.arrived_at_ms = now_ms;
+        self.has_started = true;
+    }
+
     /// Records that an entry process found a caller connected at `checked_at_ms`.
     pub(super) fn record_caller_check(&mut self, checked_at_ms: u64) {
         self.caller_checked_at_ms = self.caller_checked_at_ms.max(checked_at_ms);
@@ -378,6 +391,20 @@
         }
     }
 
+    /// Returns the targets whose listings show the runs that earlier dispatchers started, until these
+    /// must have ended.
+    pub(super) fn awaited_targets(&self, now_ms: u64) -> &[Arc<str>] {
+        match self.submission.run_targets.as_deref() {
+            Some(targets)
+                if self.submission.earlier_runs == EarlierRuns::OwnZone
+                    && now_ms < self.arrived_at_ms + LEASE_EXPIRY_MS =>
+            {
+                targets
+            }
+            _ => &[],
+        }
+    }
+
     /// Returns the indexes of the waiting tasks whose dependencies are done.
     pub(super) fn startable_tasks(&self) -> Vec<usize> {
         let tasks = self.tasks.iter().enumerate();
@@ -397,8 +424,9 @@
         Submission {
             earlier_runs: EarlierRuns::None,
             run_targets: None,
+            released_under: None,
             part: Some(part),
-            holder_token: None,
+            holder: None,
             excluded_tasks: others.map(|(_, task)| (task.id.step, task.id.index)).collect(),
             waited_ms: now_ms.saturating_sub(self.received_at_ms),
             caller_check_age_ms: now_ms.saturating_sub(self.caller_checked_at_ms),
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -60,6 +60,8 @@
     token_offset: u64,
     /// Time at which the last restart was seen.
     incarnation_seen_at_ms: u64,
+    /// Time at which an answer showed a restart that no listing has shown yet.
+    unlisted_restart_at_ms: Option<u64>,
     /// Time at which the last message that may extend the lease was sent.
     lease_sent_at_ms: u64,
     /// Time by which the lease has expired, as far as this dispatcher and those before it extended it.
@@ -99,6 +101,7 @@
             listing_required_since_ms: 0,
             token_offset: 0,
             incarnation_seen_at_ms: 0,
+            unlisted_restart_at_ms: None,
             lease_sent_at_ms: 0,
             lease_expired_at_ms: 0,
             consecutive_failures: 0,
@@ -143,6 +146,11 @@
         self.clock.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
     }
 
+    /// Returns whether a listing has arrived that was requested at `since_ms` or later.
+    pub const fn has_listing_since(&self, since_ms: u64) -> bool {
+        self.has_current_listing() && self.last_listing_requested_at_ms >= since_ms
+    }
+
     /// Records that a listing request failed after `took_ms`, where `timeout_ms` is its limit.
     ///
     /// A request that fails later than its limit shows that this process is slow, not that the
@@ -157,8 +165,8 @@
         self.silent && self.clock.is_none()
     }
 
-    /// Returns the number of restarts of the target that this process has seen, which is added to
-    /// the owner's token in requests to the current incarnation.
+    /// Returns the number of restarts of the target that this process has seen, which raises the
+    /// owner's token in requests to the current incarnation, see [`ggb_model::token_after_restarts`].
     ///
     /// After a restart a target has no token and a new clock, so that it would execute requests
     /// that were meant for its previous incarnation; a higher token makes it reject them.
@@ -189,6 +197,11 @@
         &self.runs
     }
 
+    /// Returns the number of ends that are retained for jobs that are resumed.
+    pub(crate) fn recent_end_count(&self) -> usize {
+        self.recent_ends.len()
+    }
+
     /// Returns the free capacity.
     pub const fn free(&self) -> Capacity {
         self.info.capacity.saturating_sub(&self.used)
@@ -245,8 +258,11 @@
 
     /// Returns the sequence number of the last end that was processed. The target may discard ends
     /// up to this number, and delays its next listing only while it has no later end.
+    ///
+    /// The numbers start anew with each incarnation, so none is returned while it is not known which
+    /// incarnation gets it.
     pub const fn ack_cursor(&self) -> u64 {
-        self.last_end_number
+        if self.unlisted_restart_at_ms.is_some() { 0 } else { self.last_end_number }
     }
 
     /// Records that a message that extends the lease by `lease_ms` is about to be sent.
@@ -454,11 +470,12 @@
             Some(last) if listing.clock_ms < last.clock_ms => return ended,
             _ => {}
         }
-        if !self.has_current_listing() {
-            // An earlier dispatcher may have renewed the lease immediately before.
+        if !self.has_current_listing() || self.shows_another_owner(listing) {
+            // Another dispatcher may have renewed the lease immediately before.
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
+        self.unlisted_restart_at_ms.take_if(|at_ms| requested_at_ms >= *at_ms);
         self.clock = Some(ClockReading {
             started_unix_ms: listing.started_unix_ms,
             clock_ms: listing.clock_ms,
@@ -472,13 +489,29 @@
         ended
     }
 
-    /// Updates the clock from an answer that contains no listing.
-    pub const fn update_clock(&mut self, clock_ms: u64, now_ms: u64) {
-        if let Some(last) = &mut self.clock
-            && clock_ms >= last.clock_ms
-        {
-            last.clock_ms = clock_ms;
-            last.read_at_ms = now_ms;
+    /// Returns whether the target may have obeyed another dispatcher since the last listing: it has
+    /// restarted, or lists a run that is not known here.
+    fn shows_another_owner(&self, listing: &Listing) -> bool {
+        let is_known = |run: Run| self.runs.iter().any(|target_run| target_run.run == run);
+        self.clock.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
+            || listing.running.iter().any(|listed| !is_known(listed.run))
+    }
+
+    /// Updates the clock from the answer to a start request that was sent at `sent_at_ms`. Returns
+    /// whether the answer shows that the target has restarted since its last answer.
+    pub const fn update_clock(&mut self, clock_ms: u64, sent_at_ms: u64, now_ms: u64) -> bool {
+        match &mut self.clock {
+            Some(last) if clock_ms >= last.clock_ms => {
+                last.clock_ms = clock_ms;
+                last.read_at_ms = now_ms;
+                false
+            }
+            // An answer to an earlier request may have been overtaken.
+            Some(last) if last.read_at_ms < sent_at_ms => {
+                self.unlisted_restart_at_ms = Some(now_ms);
+                true
+            }
+            _ => false,
         }
     }
 
@@ -487,6 +520,7 @@
     fn begin_incarnation(&mut self, now_ms: u64, ended: &mut Vec<EndedRun>) {
         self.token_offset += 1;
         self.incarnation_seen_at_ms = now_ms;
+        self.unlisted_restart_at_ms = None;
         let is_unconfirmed = |target_run: &TargetRun| !target_run.is_confirmed;
         let ended_runs: Vec<Run> = self
             .runs
