--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -79,7 +79,7 @@
     run: Run,
     spec: Arc<str>,
     valid_until_clock_ms: u64,
-    token_offset: u64,
+    seen_restarts: u64,
 }
 
 /// A submitted job that awaits its answer; dropping it removes the request.
@@ -289,17 +289,17 @@
                 run,
                 spec,
                 valid_until_clock_ms,
-                token_offset,
+                seen_restarts,
                 waited_ms,
                 expected_ms,
             } => {
                 self.shared.metrics.observe_start(waited_ms, expected_ms);
                 let request =
-                    StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset };
+                    StartRequest { target, addr, run, spec, valid_until_clock_ms, seen_restarts };
                 task::spawn(Arc::clone(self).send_start(request));
             }
-            Action::Stop { target, addr, run, token_offset } => {
-                task::spawn(Arc::clone(self).send_stop(target, addr, run, token_offset));
+            Action::Stop { target, addr, run, seen_restarts } => {
+                task::spawn(Arc::clone(self).send_stop(target, addr, run, seen_restarts));
             }
             Action::RequestListing { target } => {
                 task::spawn(Arc::clone(self).request_listing_now(target));
@@ -332,9 +332,9 @@
     }
 
     async fn send_start(self: Arc<Self>, request: StartRequest) {
-        let StartRequest { target, addr, run, spec, valid_until_clock_ms, token_offset } = request;
+        let StartRequest { target, addr, run, spec, valid_until_clock_ms, seen_restarts } = request;
         let reply = self.client.start(
-            token_after_restarts(self.claim.token, token_offset),
+            token_after_restarts(self.claim.token, seen_restarts),
             (&target, addr),
             run,
             &spec,
@@ -346,7 +346,7 @@
         self.shared.metrics.target_requests.with_label_values(&["start", &outcome]).inc();
         self.update(|dispatcher, now_ms| {
             let StartReply { outcome, clock_ms } = reply;
-            dispatcher.apply_start_outcome(&target, run, token_offset, outcome, clock_ms, now_ms);
+            dispatcher.apply_start_outcome(&target, run, seen_restarts, outcome, clock_ms, now_ms);
         });
         self.step_down_if_superseded();
     }
@@ -356,9 +356,9 @@
         target: Arc<str>,
         addr: SocketAddr,
         run: Run,
-        token_offset: u64,
+        seen_restarts: u64,
     ) {
-        let token = token_after_restarts(self.claim.token, token_offset);
+        let token = token_after_restarts(self.claim.token, seen_restarts);
         let answered = self.client.stop(token, (&target, addr), run, REQUEST_TIMEOUT_MS).await;
         let outcome = if answered { "answered" } else { "unanswered" };
         self.shared.metrics.target_requests.with_label_values(&["stop", outcome]).inc();
@@ -395,12 +395,12 @@
     async fn request_listing(self: &Arc<Self>, target: &str, wait_ms: u64) -> Option<bool> {
         let request =
             self.update(|dispatcher, now_ms| dispatcher.listing_request(target, now_ms))?;
-        let ListingRequest { addr, token_offset, ack_cursor, lease_until_clock_ms, may_wait } =
+        let ListingRequest { addr, seen_restarts, ack_cursor, lease_until_clock_ms, may_wait } =
             request;
         let wait_ms = if may_wait { wait_ms } else { 0 };
         let requested_at_ms = self.shared.now_ms();
         let reply = self.client.fetch_listing(
-            token_after_restarts(self.claim.token, token_offset),
+            token_after_restarts(self.claim.token, seen_restarts),
             (target, addr),
             ack_cursor,
             lease_until_clock_ms,
@@ -417,10 +417,10 @@
             }
             Ok(ListingReply::Fenced) => {
                 let current = self.update(|dispatcher, _| {
-                    dispatcher.target_mut(target).map(|known| known.token_offset())
+                    dispatcher.target_mut(target).map(|known| known.seen_restarts())
                 });
                 // A request to an earlier incarnation of the target has a lower token.
-                if current == Some(token_offset) {
+                if current == Some(seen_restarts) {
                     self.step_down(Some(target));
                 }
                 ("fenced", false)
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -286,7 +286,7 @@
 
     /// Returns the highest token that requests to targets carried.
     fn highest_request_token(&self) -> u64 {
-        let restarts = self.targets.iter().map(Target::token_offset).max();
+        let restarts = self.targets.iter().map(Target::seen_restarts).max();
         token_after_restarts(self.token, restarts.unwrap_or(0))
     }
 
@@ -302,7 +302,7 @@
         &mut self,
         id: &str,
         run: Run,
-        token_offset: u64,
+        seen_restarts: u64,
         outcome: StartOutcome,
         clock_ms: Option<u64>,
         now_ms: u64,
@@ -312,7 +312,7 @@
         let target = &mut self.targets[target_index];
         // A lower offset means that the request was addressed to an earlier incarnation of the
         // target.
-        let is_to_current = token_offset == target.token_offset();
+        let is_to_current = seen_restarts == target.seen_restarts();
         self.superseded |= outcome == StartOutcome::Fenced && is_to_current;
         let target_run = target.runs().iter().find(|target_run| target_run.run == run).copied();
         let sent_at_ms = target_run.map_or(0, |target_run| target_run.start_sent_at_ms);
@@ -451,9 +451,9 @@
     fn stop_run(&mut self, target_index: usize, run: Run, now_ms: u64) {
         let target = &mut self.targets[target_index];
         if target.mark_stopping(run, now_ms) {
-            let token_offset = target.token_offset();
+            let seen_restarts = target.seen_restarts();
             let (target, addr) = (Arc::clone(&target.info().id), target.info().addr);
-            self.actions.push(Action::Stop { target, addr, run, token_offset });
+            self.actions.push(Action::Stop { target, addr, run, seen_restarts });
         }
     }
 
--- a/crates/placement/src/dispatcher/action.rs
+++ b/crates/placement/src/dispatcher/action.rs
@@ -50,9 +50,8 @@
         spec: Arc<str>,
         /// Target clock time after which the target must reject the request.
         valid_until_clock_ms: u64,
-        /// Number of restarts of the target that this process has seen; added to the owner's
-        /// token.
-        token_offset: u64,
+        /// Number of restarts of the target that this process has seen; raises the owner's token.
+        seen_restarts: u64,
         /// Time from the receipt of the job by an entry process to this request, in ms; for
         /// metrics.
         waited_ms: u64,
@@ -67,9 +66,8 @@
         addr: SocketAddr,
         /// Task and number of the run.
         run: Run,
-        /// Number of restarts of the target that this process has seen; added to the owner's
-        /// token.
-        token_offset: u64,
+        /// Number of restarts of the target that this process has seen; raises the owner's token.
+        seen_restarts: u64,
     },
     /// Request a listing from a target immediately.
     RequestListing {
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -177,7 +177,7 @@
             run,
             spec: Arc::clone(&job.submission().job.spec),
             valid_until_clock_ms,
-            token_offset: target.token_offset(),
+            seen_restarts: target.seen_restarts(),
             waited_ms,
             expected_ms,
         });
--- a/crates/placement/src/dispatcher/renewal.rs
+++ b/crates/placement/src/dispatcher/renewal.rs
@@ -14,8 +14,8 @@
 pub struct ListingRequest {
     /// Address of the target.
     pub addr: SocketAddr,
-    /// Number to add to the dispatcher's token.
-    pub token_offset: u64,
+    /// Number of restarts of the target that this process has seen; raises the owner's token.
+    pub seen_restarts: u64,
     /// Number of the last end that was processed.
     pub ack_cursor: u64,
     /// Time of the target's clock until which its lease is extended; `None` if it is not.
@@ -37,7 +37,7 @@
         });
         Some(ListingRequest {
             addr: target.info().addr,
-            token_offset: target.token_offset(),
+            seen_restarts: target.seen_restarts(),
             ack_cursor: target.ack_cursor(),
             lease_until_clock_ms,
             may_wait: target.has_current_listing() && !target.is_unreachable(),
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -256,9 +256,8 @@
 
 /// Identifier of one claim to the targets of a zone, drawn at random.
 ///
-/// Unlike fencing tokens, no two claims share one, also if they derive from the same clock and the same
-/// known token. Its names in messages are those of the token that stood for it in a former build; a
-/// process of that build finds that a job is held by another owner, and waits for its runs.
+/// No two claims share one, whatever clocks and tokens they derive from. A former build has the fencing
+/// token in its place in messages: it finds that another owner holds the job, and waits for its runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ClaimId(pub u64);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -56,8 +56,8 @@
     last_listing_requested_at_ms: u64,
     /// Time from which a listing must have been requested to count as current.
     listing_required_since_ms: u64,
-    /// Number of restarts of the target that this process has seen; added to the owner's token.
-    token_offset: u64,
+    /// Number of restarts of the target that this process has seen; raises the owner's token.
+    seen_restarts: u64,
     /// Time at which the last restart was seen.
     incarnation_seen_at_ms: u64,
     /// Time at which an answer showed a restart that no listing has shown yet.
@@ -99,7 +99,7 @@
             clock: None,
             last_listing_requested_at_ms: 0,
             listing_required_since_ms: 0,
-            token_offset: 0,
+            seen_restarts: 0,
             incarnation_seen_at_ms: 0,
             unlisted_restart_at_ms: None,
             lease_sent_at_ms: 0,
@@ -170,8 +170,8 @@
     ///
     /// After a restart a target has no token and a new clock, so that it would execute requests
     /// that were meant for its previous incarnation; a higher token makes it reject them.
-    pub const fn token_offset(&self) -> u64 {
-        self.token_offset
+    pub const fn seen_restarts(&self) -> u64 {
+        self.seen_restarts
     }
 
     /// Returns the start of the incarnation that last sent a listing, or else of the one in the
@@ -373,7 +373,7 @@
             last_stop_sent_at_ms: 0,
             start_sent_at_ms: now_ms,
             valid_until_clock_ms,
-            token_offset: self.token_offset,
+            seen_restarts: self.seen_restarts,
             expected_ms,
             progress_percent: 0,
             last_progress_at_ms: now_ms,
@@ -518,7 +518,7 @@
     /// Ends the runs of the previous incarnation, except those whose start requests may still be in
     /// flight and reach the new incarnation.
     fn begin_incarnation(&mut self, now_ms: u64, ended: &mut Vec<EndedRun>) {
-        self.token_offset += 1;
+        self.seen_restarts += 1;
         self.incarnation_seen_at_ms = now_ms;
         self.unlisted_restart_at_ms = None;
         let is_unconfirmed = |target_run: &TargetRun| !target_run.is_confirmed;
@@ -579,7 +579,7 @@
                     last_stop_sent_at_ms: 0,
                     start_sent_at_ms: now_ms,
                     valid_until_clock_ms: 0,
-                    token_offset: self.token_offset,
+                    seen_restarts: self.seen_restarts,
                     expected_ms: 0,
                     progress_percent: listed.progress_percent,
                     last_progress_at_ms: now_ms,
@@ -600,7 +600,7 @@
             let should_be_listed = match target_run.phase {
                 RunPhase::Ordered => false,
                 _ if target_run.is_confirmed => target_run.phase_since_ms < requested_at_ms,
-                _ if target_run.token_offset < self.token_offset => {
+                _ if target_run.seen_restarts < self.seen_restarts => {
                     requested_at_ms > self.incarnation_seen_at_ms
                 }
                 _ => listing.clock_ms > target_run.valid_until_clock_ms,
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -72,18 +72,18 @@
     pub(super) fn execute_actions(&mut self, owner_index: usize) {
         for action in self.owners[owner_index].dispatcher.take_actions() {
             match action {
-                Action::Start { target, run, valid_until_clock_ms, token_offset, .. } => {
+                Action::Start { target, run, valid_until_clock_ms, seen_restarts, .. } => {
                     let target_index = self.target_index(&target);
                     self.send_start(
                         owner_index,
                         target_index,
                         run,
-                        token_offset,
+                        seen_restarts,
                         valid_until_clock_ms,
                     );
                 }
-                Action::Stop { target, run, token_offset, .. } => {
-                    self.send_stop(owner_index, self.target_index(&target), run, token_offset);
+                Action::Stop { target, run, seen_restarts, .. } => {
+                    self.send_stop(owner_index, self.target_index(&target), run, seen_restarts);
                 }
                 Action::RequestListing { target } => {
                     self.request_listing(owner_index, self.target_index(&target), 0, false)
@@ -119,11 +119,11 @@
         owner_index: usize,
         target_index: usize,
         run: Run,
-        token_offset: u64,
+        seen_restarts: u64,
         valid_until_clock_ms: u64,
     ) {
         let delivery = self.draw_delivery(owner_index, target_index);
-        let token = token_after_restarts(self.owners[owner_index].claim.token, token_offset);
+        let token = token_after_restarts(self.owners[owner_index].claim.token, seen_restarts);
         let start = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
             let work = sim.work_of(run);
@@ -135,7 +135,7 @@
             let now_ms = sim.now_ms;
             let target = sim.targets[target_index].info.id.clone();
             let dispatcher = &mut sim.owners[owner_index].dispatcher;
-            dispatcher.apply_start_outcome(&target, run, token_offset, outcome, clock_ms, now_ms);
+            dispatcher.apply_start_outcome(&target, run, seen_restarts, outcome, clock_ms, now_ms);
             sim.execute_actions(owner_index);
         };
         match delivery {
@@ -166,13 +166,13 @@
         }
     }
 
-    fn send_stop(&mut self, owner_index: usize, target_index: usize, run: Run, token_offset: u64) {
+    fn send_stop(&mut self, owner_index: usize, target_index: usize, run: Run, seen_restarts: u64) {
         let delay_ms = match self.draw_delivery(owner_index, target_index) {
             Delivery::Lost => return,
             Delivery::Late(delay_ms) => delay_ms,
             Delivery::Delivered | Delivery::Unanswered => INTRA_ZONE_LATENCY_MS,
         };
-        let token = token_after_restarts(self.owners[owner_index].claim.token, token_offset);
+        let token = token_after_restarts(self.owners[owner_index].claim.token, seen_restarts);
         self.schedule_after(delay_ms, move |sim| {
             let now_ms = sim.now_ms;
             sim.targets[target_index].simulated.stop(token, run, now_ms);
@@ -199,10 +199,10 @@
         let Some(request) = dispatcher.listing_request(&target_id, now_ms) else {
             return;
         };
-        let ListingRequest { token_offset, ack_cursor, lease_until_clock_ms, may_wait, .. } =
+        let ListingRequest { seen_restarts, ack_cursor, lease_until_clock_ms, may_wait, .. } =
             request;
         let wait_ms = if may_wait { wait_ms } else { 0 };
-        let token = token_after_restarts(self.owners[owner_index].claim.token, token_offset);
+        let token = token_after_restarts(self.owners[owner_index].claim.token, seen_restarts);
         let delivery = self.draw_delivery(owner_index, target_index);
         let deliver_request = move |sim: &mut Simulation| {
             let now_ms = sim.now_ms;
@@ -228,7 +228,7 @@
                             sim.handle_rejected_listing_request(
                                 owner_index,
                                 target_index,
-                                token_offset,
+                                seen_restarts,
                                 repeat,
                             );
                         });
@@ -260,12 +260,12 @@
         &mut self,
         owner_index: usize,
         target_index: usize,
-        token_offset: u64,
+        seen_restarts: u64,
         repeat: bool,
     ) {
         let target_id = self.targets[target_index].info.id.clone();
         let target = self.owners[owner_index].dispatcher.target_mut(&target_id);
-        match target.is_some_and(|target| target.token_offset() == token_offset) {
+        match target.is_some_and(|target| target.seen_restarts() == seen_restarts) {
             true => self.supersede_owner(owner_index),
             false if repeat => self.poll_target(owner_index, target_index, 25),
             false => {}
--- a/crates/placement/tests/takeover.rs
+++ b/crates/placement/tests/takeover.rs
@@ -503,7 +503,7 @@
         harness.apply_start_outcome(0, run(0, 1), StartOutcome::Fenced);
         assert!(!harness.dispatcher.is_superseded());
         let offsets: Vec<u64> = harness.take_actions().iter().filter_map(|action| match action {
-            Action::Start { token_offset, .. } => Some(*token_offset),
+            Action::Start { seen_restarts, .. } => Some(*seen_restarts),
             _ => None,
         }).collect();
         assert_eq!(offsets, [1]);
