--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -166,7 +166,8 @@
     let claim = heartbeat.claim_token;
     let leaving = heartbeat.leaving;
     let free_tasks = heartbeat.free_tasks;
-    let known_claims = heartbeat.known_claims.clone();
+    let own_claim = heartbeat.known_claims.iter().find(|known| known.owner == shared.settings.name);
+    let token_known_to_peer = own_claim.map(|known| known.token);
     if claim.is_some() && zone != shared.settings.zone {
         let owner = shared.owner.load_full();
         if let Some(owner) = owner {
@@ -201,11 +202,9 @@
     }
     match (new_owner, own_token) {
         (Some(owner), Some(token)) => {
-            let own_name = &shared.settings.name;
-            let known_to_peer = known_claims.iter().find(|known| known.owner == *own_name);
             log_event!(
                 warn, RivalOwner, zone = %zone, token, peer = owner, peer_token = claim,
-                token_known_to_peer = known_to_peer.map(|known| known.token)
+                token_known_to_peer
             );
         }
         (Some(owner), None) => {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -185,8 +185,11 @@
     }
 
     fn release_ownership(&self) {
-        let token = self.shared.ownership.lock().claim_token();
-        if self.shared.ownership.lock().release() {
+        let (token, was_owner) = {
+            let mut ownership = self.shared.ownership.lock();
+            (ownership.claim_token(), ownership.release())
+        };
+        if was_owner {
             log_event!(info, OwnershipReleased, reason = "the process stops", token);
         }
         if let Some(owner) = self.shared.owner.swap(None) {
