Log what ends a run as lost, and the first listing of an incarnation

Callers saw two runs of a task at the same time on targets that crash and start again under their ids.

The logs could not tell whether the first listing of the new incarnation or a later one ends the run. Event 627 now has the time since the phase of the run began and the age of the listing that ended it; event 647 is new.

--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -108,7 +108,7 @@
             self.record_target_loss(target_index, cause, now_ms);
             let ended = self.targets[target_index].expire_runs();
             for target_run in ended.into_iter().filter_map(|ended| ended.target_run) {
-                self.record_lost_run(&target_run, &id, RunEnd::Lapsed, now_ms);
+                self.record_lost_run(&target_run, &id, RunEnd::Lapsed, None, now_ms);
                 self.requeue_task(target_run.run, &id, false, now_ms);
             }
         }
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -23,6 +23,7 @@
         let Some(target_index) = self.target_index(id) else { return };
         let is_first_listing = !self.targets[target_index].has_current_listing();
         self.settle_target_losses(target_index, listing, requested_at_ms, now_ms);
+        let earlier_unix_ms = self.targets[target_index].started_unix_ms();
         let ended = self.targets[target_index].apply_listing(listing, requested_at_ms, now_ms);
         if is_first_listing {
             let target = &self.targets[target_index];
@@ -35,14 +36,35 @@
                 free_cpu_milli = target.free().cpu_milli
             );
         }
+        let has_restarted = listing.started_unix_ms > earlier_unix_ms;
+        if has_restarted && !is_first_listing {
+            log_event!(
+                warn,
+                TargetRestarted,
+                target = id,
+                earlier_unix_ms,
+                started_unix_ms = listing.started_unix_ms,
+                clock_ms = listing.clock_ms,
+                listing_age_ms = now_ms - requested_at_ms,
+                running = listing.running.len(),
+                finished = listing.finished.len(),
+                ended = ended.len()
+            );
+        }
         for ended in ended {
-            self.apply_run_end(target_index, ended, now_ms);
+            self.apply_run_end(target_index, ended, requested_at_ms, now_ms);
         }
         self.adopt_orphans(target_index, now_ms);
         self.place_tasks(now_ms);
     }
 
-    fn apply_run_end(&mut self, target_index: usize, ended: EndedRun, now_ms: u64) {
+    fn apply_run_end(
+        &mut self,
+        target_index: usize,
+        ended: EndedRun,
+        listing_requested_at_ms: u64,
+        now_ms: u64,
+    ) {
         let EndedRun { run, end, target_run } = ended;
         let target_id = Arc::clone(&self.targets[target_index].info().id);
         let ran_ms = target_run.map_or(0, |target_run| now_ms - target_run.start_sent_at_ms);
@@ -51,7 +73,8 @@
         );
         self.update_target_health(target_index, run, end, now_ms);
         if let (RunEnd::Lost, Some(target_run)) = (end, target_run) {
-            self.record_lost_run(&target_run, &target_id, end, now_ms);
+            let requested_at_ms = Some(listing_requested_at_ms);
+            self.record_lost_run(&target_run, &target_id, end, requested_at_ms, now_ms);
         }
         match end {
             RunEnd::Done => {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -141,6 +141,8 @@
     TargetListLoaded = 645,
     /// The answer to a start request shows that a target has restarted; a listing is requested.
     TargetRestartSeen = 646,
+    /// A listing is the first one of a new incarnation of a target.
+    TargetRestarted = 647,
     /// This process became the owner of the targets of its availability zone.
     OwnershipTaken = 660,
     /// This process released the ownership of the targets of its availability zone.
