Count a run as lost with an incarnation only once it is known to be its run

A job could fail as one that crashes its targets although one of the counted runs was alive on the restarted target; and a task that does crash its targets could be started a third time.

Cause: the first listing of a new incarnation counted every run of the target as lost with the former one, before it was known which incarnation had the run, and never took this back or completed it later: a run that the new incarnation confirmed stayed a loss, and a start that was answered after that listing stayed one that had not begun, of which three are needed before the job is given up.

Fix: a run records which incarnation its start request was sent to, in place of a number of restarts. A run that the first listing can't decide about is an unsettled loss; the listing that decides settles it as a crash of that incarnation, or clears it.

Failed before: run_confirmed_by_a_restarted_target_is_no_loss_of_the_former_incarnation, run_that_reached_a_target_after_its_restart_is_no_loss_of_the_former_incarnation, task_that_crashes_its_targets_before_its_starts_are_answered_is_started_twice_at_most (no answer after the second crash).

--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -22,9 +22,16 @@
         self.advance_time(now_ms);
         let Some(target_index) = self.target_index(id) else { return };
         let is_first_listing = !self.targets[target_index].has_current_listing();
-        self.settle_target_losses(target_index, listing, requested_at_ms, now_ms);
         let earlier_unix_ms = self.targets[target_index].started_unix_ms();
         let ended = self.targets[target_index].apply_listing(listing, requested_at_ms, now_ms);
+        self.settle_target_losses(
+            target_index,
+            earlier_unix_ms,
+            listing,
+            &ended,
+            requested_at_ms,
+            now_ms,
+        );
         if is_first_listing {
             let target = &self.targets[target_index];
             log_event!(
@@ -54,7 +61,8 @@
         for ended in ended {
             self.apply_run_end(target_index, ended, requested_at_ms, now_ms);
         }
-        if self.targets[target_index].has_undecided_runs() {
+        let is_answered = |target_run: &TargetRun| target_run.phase != RunPhase::Ordered;
+        if self.targets[target_index].undecided_runs().any(is_answered) {
             self.push_listing_request(target_index, now_ms);
         }
         self.adopt_orphans(target_index, now_ms);
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -9,8 +9,8 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Dispatcher, JobAnswer, JobId, Listing, LossCause, RunPhase, StartRule, Target, TargetInfo,
-    TargetLoss, TargetLosses, TaskId,
+    Dispatcher, EndedRun, JobAnswer, JobId, Listing, LossCause, RunEnd, RunPhase, StartRule,
+    Target, TargetInfo, TargetLoss, TargetLosses, TargetRun, TaskId,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -80,45 +80,67 @@
         let target = &self.targets[target_index];
         for target_run in target.runs() {
             let loss = TargetLoss {
-                task: target_run.run.task,
-                target: Arc::clone(&target.info().id),
                 started_unix_ms: target.started_unix_ms(),
-                revision: 0,
-                cause,
-                has_started: target_run.is_confirmed(),
-                // A run that was being stopped may have ended before the target was lost.
                 was_alone: target.runs().len() == 1 && target_run.phase != RunPhase::Stopping,
+                ..loss_of_run(target, target_run, cause)
             };
             self.target_losses.record(loss, now_ms);
         }
     }
 
-    /// Updates the losses of a target from a listing, before the listing is applied.
+    /// Updates the losses of a target from a listing, which ended the runs `ended`. The incarnation
+    /// that was known before it started at `earlier_unix_ms`.
+    ///
+    /// A run that was sent to an earlier incarnation was lost with it if it is not a run of the
+    /// current one. While that is not known, the loss stays unsettled.
     pub(super) fn settle_target_losses(
         &mut self,
         target_index: usize,
+        earlier_unix_ms: u64,
         listing: &Listing,
+        ended: &[EndedRun],
         requested_at_ms: u64,
         now_ms: u64,
     ) {
-        let earlier_unix_ms = self.targets[target_index].started_unix_ms();
-        if listing.started_unix_ms < earlier_unix_ms {
-            return;
-        }
         let has_restarted = listing.started_unix_ms > earlier_unix_ms;
-        if has_restarted {
-            self.record_target_loss(target_index, LossCause::Crashed, now_ms);
-        }
         let target = &mut self.targets[target_index];
-        if !target.take_settled_loss(requested_at_ms) && !has_restarted {
+        if listing.started_unix_ms < earlier_unix_ms
+            || (!target.take_settled_loss(requested_at_ms) && !has_restarted)
+        {
             return;
         }
+        let undecided: Vec<TargetRun> = target.undecided_runs().copied().collect();
+        if !undecided.is_empty() {
+            target.set_loss_recorded(requested_at_ms);
+        }
         let id = Arc::clone(&target.info().id);
-        self.target_losses.record_alive(&id, listing.started_unix_ms, now_ms);
+        let is_undecided = |task| undecided.iter().any(|target_run| target_run.run.task == task);
+        self.target_losses.record_alive(&id, listing.started_unix_ms, is_undecided, now_ms);
+
+        let is_earlier =
+            |target_run: &TargetRun| target_run.sent_to_unix_ms < listing.started_unix_ms;
+        let ended_as_lost = ended.iter().filter(|ended| ended.end == RunEnd::Lost);
+        let lost: Vec<TargetRun> =
+            ended_as_lost.filter_map(|ended| ended.target_run).filter(is_earlier).collect();
+        let losses = lost.iter().map(|target_run| (target_run, LossCause::Crashed));
+        let losses = losses.chain(undecided.iter().map(|run| (run, LossCause::Unknown)));
+        let target = &self.targets[target_index];
+        // A later listing can't show any more what ran beside the runs that the first one left open.
+        let was_alone = !has_restarted || lost.len() + undecided.len() == 1;
+        for (target_run, cause) in losses.filter(|_| !target.info().draining) {
+            let loss = loss_of_run(target, target_run, cause);
+            let was_alone = was_alone && loss.was_alone;
+            self.target_losses.record(TargetLoss { was_alone, ..loss }, now_ms);
+        }
+
         let running = listing.running.iter().map(|listed| listed.run);
         let finished = listing.finished.iter().map(|listed| listed.run);
         for run in running.chain(finished) {
-            self.target_losses.record_survival(run.task, &id, earlier_unix_ms, now_ms);
+            let tracked = target.runs().iter().chain(ended_runs(ended));
+            let sent_to =
+                tracked.filter(|known| known.run == run).map(|known| known.sent_to_unix_ms);
+            let lost_unix_ms = sent_to.min().unwrap_or(earlier_unix_ms);
+            self.target_losses.record_survival(run.task, &id, lost_unix_ms, now_ms);
         }
         self.fail_deadly_jobs(now_ms);
     }
@@ -159,3 +181,22 @@
         }
     }
 }
+
+/// Returns the loss of a run with the incarnation that its start request was sent to, as far as the run
+/// alone shows it.
+fn loss_of_run(target: &Target, target_run: &TargetRun, cause: LossCause) -> TargetLoss {
+    TargetLoss {
+        task: target_run.run.task,
+        target: Arc::clone(&target.info().id),
+        started_unix_ms: target_run.sent_to_unix_ms,
+        revision: 0,
+        cause,
+        has_started: target_run.is_confirmed(),
+        // A run that was being stopped may have ended before the target was lost.
+        was_alone: target_run.phase != RunPhase::Stopping,
+    }
+}
+
+fn ended_runs(ended: &[EndedRun]) -> impl Iterator<Item = &TargetRun> {
+    ended.iter().filter_map(|ended| ended.target_run.as_ref())
+}
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -373,7 +373,7 @@
             last_stop_sent_at_ms: 0,
             start_sent_at_ms: now_ms,
             valid_until_clock_ms,
-            seen_restarts: self.seen_restarts,
+            sent_to_unix_ms: self.started_unix_ms(),
             expected_ms,
             progress_percent: 0,
             last_progress_at_ms: now_ms,
@@ -526,12 +526,12 @@
         self.last_end_number = 0;
     }
 
-    /// Returns whether the last listing could not show what became of a run whose start request was
-    /// sent to an earlier incarnation and has been answered or has timed out.
-    pub fn has_undecided_runs(&self) -> bool {
-        self.runs.iter().any(|target_run| {
-            target_run.seen_restarts < self.seen_restarts
-                && target_run.phase != RunPhase::Ordered
+    /// Returns the runs whose start requests were sent to an earlier incarnation, and of which it is
+    /// not known yet whether they have reached the current one.
+    pub fn undecided_runs(&self) -> impl Iterator<Item = &TargetRun> {
+        let started_unix_ms = self.started_unix_ms();
+        self.runs.iter().filter(move |target_run| {
+            target_run.sent_to_unix_ms < started_unix_ms
                 && !matches!(target_run.confirmation, Confirmation::Listed { .. })
         })
     }
@@ -577,7 +577,7 @@
                     last_stop_sent_at_ms: 0,
                     start_sent_at_ms: now_ms,
                     valid_until_clock_ms: 0,
-                    seen_restarts: self.seen_restarts,
+                    sent_to_unix_ms: listing.started_unix_ms,
                     expected_ms: 0,
                     progress_percent: listed.progress_percent,
                     last_progress_at_ms: now_ms,
@@ -605,7 +605,7 @@
                     at_ms < requested_at_ms
                 }
                 Confirmation::None if target_run.phase == RunPhase::Ordered => false,
-                Confirmation::None if target_run.seen_restarts < self.seen_restarts => {
+                Confirmation::None if target_run.sent_to_unix_ms < listing.started_unix_ms => {
                     requested_at_ms > self.incarnation_seen_at_ms
                 }
                 Confirmation::None => listing.clock_ms > target_run.valid_until_clock_ms,
--- a/crates/placement/src/target_loss.rs
+++ b/crates/placement/src/target_loss.rs
@@ -141,9 +141,16 @@
     }
 
     /// Records that the incarnation `started_unix_ms` of a target has answered, so that earlier
-    /// ones crashed and this one did not.
-    pub fn record_alive(&mut self, target: &str, started_unix_ms: u64, now_ms: u64) {
+    /// ones crashed and this one did not. The losses of the `undecided` tasks stay unsettled.
+    pub fn record_alive(
+        &mut self,
+        target: &str,
+        started_unix_ms: u64,
+        undecided: impl Fn(TaskId) -> bool,
+        now_ms: u64,
+    ) {
         self.update_causes(target, now_ms, |loss| match loss.started_unix_ms {
+            lost if lost < started_unix_ms && undecided(loss.task) => loss.cause,
             lost if lost < started_unix_ms => LossCause::Crashed,
             lost if lost == started_unix_ms => LossCause::CutOff,
             _ => loss.cause,
--- a/crates/placement/src/target_run.rs
+++ b/crates/placement/src/target_run.rs
@@ -76,9 +76,9 @@
     pub start_sent_at_ms: u64,
     /// Target clock time after which the target rejects the start request.
     pub valid_until_clock_ms: u64,
-    /// Value of [`crate::Target::seen_restarts`] when the start request was sent. The request
-    /// carried the owner's token after that many restarts.
-    pub seen_restarts: u64,
+    /// Start of the incarnation that had last sent a listing when the start request was sent, in ms
+    /// since 1970. The request carried the owner's token for it, but may have reached a later one.
+    pub sent_to_unix_ms: u64,
     /// Expected run time, in ms.
     pub expected_ms: u64,
     /// Progress as last listed.
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -25,6 +25,21 @@
     (run, requested_at_ms)
 }
 
+/// Starts a task alone on target 0, which crashes under it. The first listing of the new incarnation
+/// arrives before the answer to the start request. Returns the run.
+fn crash_before_start_is_answered(harness: &mut Harness, started_unix_ms: u64) -> Run {
+    let (target, run) = harness.take_starts().remove(0);
+    harness.advance(5);
+    let requested_at_ms = harness.now_ms - 1;
+    harness.apply_listing_after_restart((started_unix_ms, 1), requested_at_ms, &[]);
+    harness.advance(5);
+    let (accepted, now_ms) = (StartOutcome::Accepted, harness.now_ms);
+    let seen_restarts = started_unix_ms - 2;
+    harness.dispatcher.apply_start_outcome(&target, run, seen_restarts, accepted, None, now_ms);
+    harness.advance(5);
+    run
+}
+
 cases! {
     // Guards against a second run of a task whose start the new incarnation confirmed after it had made the listing.
     run_confirmed_after_the_first_listing_of_a_restarted_target_was_requested_is_not_started_again(harness: [16, 16]) {
@@ -56,4 +71,32 @@
         harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), requested_at_ms, &[]);
         assert_eq!(harness.take_starts().len(), 1);
     }
+
+    // Guards against a run of the new incarnation that counts as lost with the former one.
+    run_confirmed_by_a_restarted_target_is_no_loss_of_the_former_incarnation(harness: [16]) {
+        let (run, requested_at_ms) = start_while_first_listing_is_requested(&mut harness);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS - 1), requested_at_ms, &[]);
+        assert_eq!(harness.dispatcher.target_losses().count(run.task).crashed, 0);
+        harness.advance(5);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS + 30), harness.now_ms - 1, &[run]);
+        assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
+    }
+
+    // Guards against the same for a run whose start is answered after the first listing.
+    run_that_reached_a_target_after_its_restart_is_no_loss_of_the_former_incarnation(harness: [16]) {
+        harness.submit(job(JOB, vec![step(1)]));
+        let run = crash_before_start_is_answered(&mut harness, 2);
+        harness.apply_listing_after_restart((2, 30), harness.now_ms - 1, &[run]);
+        assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
+    }
+
+    // Guards against a third crash under a task whose starts were answered after the listings that showed the crashes.
+    task_that_crashes_its_targets_before_its_starts_are_answered_is_started_twice_at_most(harness: [16]) {
+        harness.submit(Submission { deadline_ms: 60_000, ..job(JOB, vec![step(1)]) });
+        for started_unix_ms in [2, 3] {
+            crash_before_start_is_answered(&mut harness, started_unix_ms);
+            harness.apply_listing_after_restart((started_unix_ms, 30), harness.now_ms - 1, &[]);
+        }
+        assert_eq!(harness.take_answers(), [JobAnswer::Failed]);
+    }
 }
