See the restart of a young target, and use the clock of the new incarnation at once

A target that crashed soon after its start and came back showed no restart in the answers to starts. Until the first listing the owner then acknowledged ends by the numbers of the former incarnation, so that the new one dropped ends that nobody had seen; such runs count as lost and are started again. After a restart that was seen, starts and leases went on with the clock of the former incarnation: the new one took a start for valid long after it was sent, and granted the longest lease.

Cause: an answer showed a restart only if its clock was behind the last reading, and the clock of the new incarnation was not used before its first listing.

Fix: a reading of the clock shows a restart if a clock that is 2% slow must have passed it. The clock of an incarnation that no listing has shown is kept beside that of the listed one, and requests go by it. A late listing of the former one ends no start that was sent by the new clock.

Failed before: restart_of_a_target_that_crashed_when_it_was_young_shows_in_the_first_answer (cursor 7 in place of 0) and start_after_an_answer_of_a_restarted_target_is_valid_by_its_clock (1,181 in place of 140). late_listing_of_the_former_incarnation_does_not_end_an_unanswered_start fails with its line taken out.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -315,9 +315,9 @@
         let is_to_current = seen_restarts == target.seen_restarts();
         self.superseded |= outcome == StartOutcome::Fenced && is_to_current;
         let target_run = target.runs().iter().find(|target_run| target_run.run == run).copied();
-        let sent_at_ms = target_run.map_or(0, |target_run| target_run.start_sent_at_ms);
-        if let Some(clock_ms) = clock_ms.filter(|_| is_to_current)
-            && target.update_clock(clock_ms, sent_at_ms, now_ms)
+        if let Some((target_run, clock_ms)) = target_run.zip(clock_ms)
+            && is_to_current
+            && target.update_clock(clock_ms, target_run.start_sent_at_ms, now_ms)
         {
             log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
             self.request_listing(target_index, now_ms);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -24,6 +24,7 @@
 mod listing;
 mod routed_job;
 mod target;
+mod target_clock;
 mod target_info;
 mod target_loss;
 mod target_run;
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -4,6 +4,7 @@
     CALLER_EXPIRY_MS, Capacity, Confirmation, EndedRun, LEASE_EXPIRY_MS, Listing, MAX_LEASE_MS,
     Run, RunEnd, RunPhase, TargetInfo, TargetRun, TaskId,
     lease::{LEASE_MS, lease_expiry_ms},
+    target_clock::ClockReading,
 };
 
 /// Time for which a start request is valid. Within a zone a request usually takes 1 ms; a target
@@ -50,8 +51,8 @@
     recent_ends: Vec<RecentEnd>,
     /// Sequence number of the last end that was processed.
     last_end_number: u64,
-    /// Incarnation and clock of the target as last reported, and when the report arrived.
-    clock: Option<ClockReading>,
+    /// Incarnation that last sent a listing, and its clock.
+    listed: Option<ListedIncarnation>,
     /// Time at which the most recent of the applied listings was requested.
     last_listing_requested_at_ms: u64,
     /// Time from which a listing must have been requested to count as current.
@@ -60,8 +61,8 @@
     seen_restarts: u64,
     /// Time at which the last restart was seen.
     incarnation_seen_at_ms: u64,
-    /// Time at which an answer showed a restart that no listing has shown yet.
-    unlisted_restart_at_ms: Option<u64>,
+    /// Clock of an incarnation that answered a start request, and that no listing has shown yet.
+    unlisted_clock: Option<ClockReading>,
     /// Time at which the last message that may extend the lease was sent.
     lease_sent_at_ms: u64,
     /// Time by which the lease has expired, as far as this dispatcher and those before it extended it.
@@ -79,10 +80,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct ClockReading {
+struct ListedIncarnation {
     started_unix_ms: u64,
-    clock_ms: u64,
-    read_at_ms: u64,
+    clock: ClockReading,
 }
 
 impl Target {
@@ -96,12 +96,12 @@
             used: Capacity { cpu_milli: 0, memory_mb: 0, gpus: 0 },
             recent_ends: Vec::new(),
             last_end_number: 0,
-            clock: None,
+            listed: None,
             last_listing_requested_at_ms: 0,
             listing_required_since_ms: 0,
             seen_restarts: 0,
             incarnation_seen_at_ms: 0,
-            unlisted_restart_at_ms: None,
+            unlisted_clock: None,
             lease_sent_at_ms: 0,
             lease_expired_at_ms: 0,
             consecutive_failures: 0,
@@ -143,7 +143,7 @@
     /// Returns whether a sufficiently recent listing has arrived. The request for it carried this
     /// dispatcher's token, so that earlier dispatchers can no longer start tasks on the target.
     pub const fn has_current_listing(&self) -> bool {
-        self.clock.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
+        self.listed.is_some() && self.last_listing_requested_at_ms >= self.listing_required_since_ms
     }
 
     /// Returns whether a listing has arrived that was requested at `since_ms` or later.
@@ -162,7 +162,7 @@
     /// Returns whether the target has never sent a listing and did not answer a request for one, so
     /// that it most likely runs nothing.
     pub const fn is_silent(&self) -> bool {
-        self.silent && self.clock.is_none()
+        self.silent && self.listed.is_none()
     }
 
     /// Returns the number of restarts of the target that this process has seen, which raises the
@@ -177,7 +177,7 @@
     /// Returns the start of the incarnation that last sent a listing, or else of the one in the
     /// target list, in ms since 1970.
     pub fn started_unix_ms(&self) -> u64 {
-        self.clock.map_or(self.info.started_unix_ms, |clock| clock.started_unix_ms)
+        self.listed.map_or(self.info.started_unix_ms, |listed| listed.started_unix_ms)
     }
 
     /// Records that the target was lost while it ran tasks; the next listing shows whether it
@@ -221,7 +221,7 @@
     /// Returns whether the target's entry in the target list describes the incarnation that sends
     /// listings. Labels and capacity may differ between incarnations.
     fn is_described(&self) -> bool {
-        self.clock.is_some_and(|clock| clock.started_unix_ms == self.info.started_unix_ms)
+        self.listed.is_some_and(|listed| listed.started_unix_ms == self.info.started_unix_ms)
     }
 
     /// Returns whether new tasks may be placed on the target now.
@@ -253,7 +253,8 @@
 
     /// Returns the estimated target clock at `now_ms`, or `None` before the first listing.
     pub fn estimated_clock_ms(&self, now_ms: u64) -> Option<u64> {
-        self.clock.map(|clock| clock.clock_ms + now_ms.saturating_sub(clock.read_at_ms))
+        let clock = self.unlisted_clock.or(self.listed.map(|listed| listed.clock));
+        clock.map(|clock| clock.estimate_ms(now_ms))
     }
 
     /// Returns the sequence number of the last end that was processed. The target may discard ends
@@ -262,7 +263,7 @@
     /// The numbers start anew with each incarnation, so none is returned while it is not known which
     /// incarnation gets it.
     pub const fn ack_cursor(&self) -> u64 {
-        if self.unlisted_restart_at_ms.is_some() { 0 } else { self.last_end_number }
+        if self.unlisted_clock.is_some() { 0 } else { self.last_end_number }
     }
 
     /// Records that a message that extends the lease by `lease_ms` is about to be sent.
@@ -462,10 +463,10 @@
         now_ms: u64,
     ) -> Vec<EndedRun> {
         let mut ended = Vec::new();
-        let has_restarted = match self.clock {
+        let has_restarted = match self.listed {
             Some(last) if listing.started_unix_ms < last.started_unix_ms => return ended,
             Some(last) if listing.started_unix_ms > last.started_unix_ms => true,
-            Some(last) if listing.clock_ms < last.clock_ms => return ended,
+            Some(last) if listing.clock_ms < last.clock.clock_ms => return ended,
             _ => false,
         };
         if has_restarted {
@@ -476,12 +477,10 @@
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
-        self.unlisted_restart_at_ms.take_if(|at_ms| requested_at_ms >= *at_ms);
-        self.clock = Some(ClockReading {
-            started_unix_ms: listing.started_unix_ms,
-            clock_ms: listing.clock_ms,
-            read_at_ms: now_ms,
-        });
+        self.unlisted_clock.take_if(|clock| requested_at_ms >= clock.read_at_ms);
+        let clock =
+            ClockReading { clock_ms: listing.clock_ms, requested_at_ms, read_at_ms: now_ms };
+        self.listed = Some(ListedIncarnation { started_unix_ms: listing.started_unix_ms, clock });
         self.apply_ends(listing, now_ms, &mut ended);
         self.apply_running(listing, now_ms);
         if listing.finished.len() < MAX_LISTED_ENDS {
@@ -494,26 +493,30 @@
     /// restarted, or lists a run that is not known here.
     fn shows_another_owner(&self, listing: &Listing) -> bool {
         let is_known = |run: Run| self.runs.iter().any(|target_run| target_run.run == run);
-        self.clock.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
+        self.listed.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
             || listing.running.iter().any(|listed| !is_known(listed.run))
     }
 
-    /// Updates the clock from the answer to a start request that was sent at `sent_at_ms`. Returns
-    /// whether the answer shows that the target has restarted since its last answer.
-    pub const fn update_clock(&mut self, clock_ms: u64, sent_at_ms: u64, now_ms: u64) -> bool {
-        match &mut self.clock {
-            Some(last) if clock_ms >= last.clock_ms => {
-                last.clock_ms = clock_ms;
-                last.read_at_ms = now_ms;
-                false
-            }
-            // An answer to an earlier request may have been overtaken.
-            Some(last) if last.read_at_ms < sent_at_ms => {
-                self.unlisted_restart_at_ms = Some(now_ms);
-                true
-            }
-            _ => false,
+    /// Updates the clock from the answer to a start request that was sent at `requested_at_ms`. Returns
+    /// whether the answer is the first one that shows a restart of the target.
+    pub(crate) fn update_clock(
+        &mut self,
+        clock_ms: u64,
+        requested_at_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let reading = ClockReading { clock_ms, requested_at_ms, read_at_ms: now_ms };
+        let Some(last) = self.unlisted_clock.as_mut().or(self.listed.as_mut().map(clock_of)) else {
+            return false;
+        };
+        if last.precedes_restart(&reading) {
+            self.unlisted_clock = Some(reading);
+            return true;
         }
+        if !last.follows_restart(&reading) {
+            last.advance(reading);
+        }
+        false
     }
 
     /// Forgets what only holds for the previous incarnation. Its runs end with the first listing
@@ -521,7 +524,7 @@
     fn begin_incarnation(&mut self, now_ms: u64) {
         self.seen_restarts += 1;
         self.incarnation_seen_at_ms = now_ms;
-        self.unlisted_restart_at_ms = None;
+        self.unlisted_clock = None;
         self.recent_ends.clear();
         self.last_end_number = 0;
     }
@@ -608,6 +611,8 @@
                 Confirmation::None if target_run.sent_to_unix_ms < listing.started_unix_ms => {
                     requested_at_ms > self.incarnation_seen_at_ms
                 }
+                // The start request may be valid for another clock than that of the listing.
+                Confirmation::None if self.unlisted_clock.is_some() => false,
                 Confirmation::None => listing.clock_ms > target_run.valid_until_clock_ms,
             };
             should_be_listed && !listing.running.iter().any(|listed| listed.run == target_run.run)
@@ -639,3 +644,7 @@
         self.recent_ends.retain(|recent| now_ms < recent.listed_at_ms + END_RETENTION_MS);
     }
 }
+
+const fn clock_of(listed: &mut ListedIncarnation) -> &mut ClockReading {
+    &mut listed.clock
+}
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -99,4 +99,59 @@
         }
         assert_eq!(harness.take_answers(), [JobAnswer::Failed]);
     }
+
+    // Guards against ends of the new incarnation that are dropped, since they carry numbers that the former one has used.
+    restart_of_a_target_that_crashed_when_it_was_young_shows_in_the_first_answer(harness: [16]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        let (_, first) = harness.take_starts().remove(0);
+        harness.apply_start_outcome(0, first, StartOutcome::Accepted);
+        harness.apply_listing(0, &[], &[(7, first, RunEnd::Done)]);
+        let clock_ms = harness.now_ms;
+        harness.advance(200);
+        harness.submit(job(JOB, vec![step(1)]));
+        let (target, run) = harness.take_starts().remove(0);
+        harness.advance(5);
+        // The clock has not fallen, but the former incarnation would be 200 ms further.
+        let (accepted, now_ms) = (StartOutcome::Accepted, harness.now_ms);
+        harness.dispatcher.apply_start_outcome(&target, run, 0, accepted, Some(clock_ms + 60), now_ms);
+        let request = harness.dispatcher.listing_request(&target, now_ms);
+        assert_eq!(request.expect("the target is known").ack_cursor, 0);
+        assert_eq!(harness.take_listing_requests(), [target]);
+    }
+
+    // Guards against a restart that is reported because the clock of a target is slow.
+    answer_of_a_slow_clock_shows_no_restart(harness: [16]) {
+        let clock_ms = harness.now_ms;
+        harness.advance(1_000);
+        harness.submit(job(JOB, vec![step(1)]));
+        let (target, run) = harness.take_starts().remove(0);
+        harness.take_actions();
+        let (accepted, now_ms) = (StartOutcome::Accepted, harness.now_ms);
+        harness.dispatcher.apply_start_outcome(&target, run, 0, accepted, Some(clock_ms + 980), now_ms);
+        assert_eq!(harness.take_listing_requests(), Vec::<String>::new());
+    }
+
+    // Guards against starts that a restarted target carries out long after they were sent, and against leases that are too long.
+    start_after_an_answer_of_a_restarted_target_is_valid_by_its_clock(harness: [32]) {
+        start_while_first_listing_is_requested(&mut harness);
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        let valid_until_clock_ms = harness.take_actions().iter().find_map(|action| match action {
+            Action::Start { valid_until_clock_ms, .. } => Some(*valid_until_clock_ms),
+            _ => None,
+        });
+        assert_eq!(valid_until_clock_ms, Some(RESTARTED_CLOCK_MS + 20 + 100));
+        let lease_until_clock_ms = harness.lease_until_ms(0).expect("the lease is renewed");
+        assert!(lease_until_clock_ms <= RESTARTED_CLOCK_MS + 20 + MAX_LEASE_MS);
+    }
+
+    // Guards against a start by the clock of the new incarnation that a late listing of the former one ends.
+    late_listing_of_the_former_incarnation_does_not_end_an_unanswered_start(harness: [32]) {
+        let (_, requested_at_ms) = start_while_first_listing_is_requested(&mut harness);
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        let (_, second) = harness.take_starts().remove(0);
+        harness.advance(5);
+        harness.apply_start_outcome(0, second, StartOutcome::Unanswered);
+        harness.apply_empty_listing(requested_at_ms, 0);
+        assert_eq!(harness.take_starts(), []);
+    }
 }
