Keep ends that were listed when their target restarts

A task whose end a target had listed was started again if the target restarted before the job of the task was sent to a new owner.

Cause: the first listing of a new incarnation dropped the ends that earlier listings had shown, together with the numbers that hold for one incarnation only. That a run has ended stays true whichever incarnation runs.

Fix: the ends stay for as long as they do otherwise.

Failed before: end_that_was_listed_before_a_restart_is_known_to_a_job_that_arrives_after_it (no answer: the task is started again).

--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -525,7 +525,6 @@
         self.seen_restarts += 1;
         self.incarnation_seen_at_ms = now_ms;
         self.unlisted_clock = None;
-        self.recent_ends.clear();
         self.last_end_number = 0;
     }
 
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -154,4 +154,12 @@
         harness.apply_empty_listing(requested_at_ms, 0);
         assert_eq!(harness.take_starts(), []);
     }
+
+    // Guards against a second run of a task whose end was listed before its target restarted and its job came back.
+    end_that_was_listed_before_a_restart_is_known_to_a_job_that_arrives_after_it(harness: [16]) {
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Done)]);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), harness.now_ms, &[]);
+        harness.submit(Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) });
+        assert_eq!(harness.take_answers(), [JobAnswer::Completed]);
+    }
 }
