Bound leases of a restarted target by the longest that it grants

If the owner and the entry process of a job are lost, its run on a target that has restarted could go on for up to 320 ms after the caller sends the job again; and a task that such a target has started unseen, before it fell silent, could be started elsewhere up to 0.9 s too early.

Cause: requests carry times of the target's clock. A new incarnation, whose clock is behind, grants the longest lease, 1,000 ms, for a start request that is meant to be valid for 100 ms, or a lease of 800 ms. The owner believed what the clock of the former incarnation would have made of it.

Fix: an answer or a listing that shows a restart counts as a renewal by the longest lease. A run of a silent target that no listing has shown ends once the longest lease since its own start request has expired, not with the lease of the incarnation that is known.

Failed before: restarted_target_gets_no_task_that_could_outlive_the_return_of_its_caller, listed_restart_leaves_no_time_for_a_task_that_could_outlive_the_return_of_its_caller and unlisted_run_of_a_silent_target_is_lost_once_the_longest_lease_has_expired (each starts a task).

Open: a start that reaches a restarted target before any message shows the restart may still hold the longest lease while a shorter one is assumed for the return of its caller.

--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -99,14 +99,14 @@
         for target_index in 0..self.targets.len() {
             let target = &self.targets[target_index];
             let is_unresponsive = target.is_unreachable() || target.is_removed();
-            if !is_unresponsive || target.runs().is_empty() || !target.is_lease_expired(now_ms) {
+            if !is_unresponsive || !target.has_expired_runs(now_ms) {
                 continue;
             }
             let id = Arc::clone(&target.info().id);
-            log_event!(warn, LeaseLapsed, target = %id, runs = target.runs().len());
             let cause = if target.is_removed() { LossCause::Crashed } else { LossCause::Unknown };
             self.record_target_loss(target_index, cause, now_ms);
-            let ended = self.targets[target_index].expire_runs();
+            let ended = self.targets[target_index].expire_runs(now_ms);
+            log_event!(warn, LeaseLapsed, target = %id, runs = ended.len());
             for target_run in ended.into_iter().filter_map(|ended| ended.target_run) {
                 self.record_lost_run(&target_run, &id, RunEnd::Lapsed, None, now_ms);
                 self.requeue_task(target_run.run, &id, false, now_ms);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -285,9 +285,19 @@
         self.lease_expired_at_ms <= return_ms && start_expired_at_ms <= return_ms
     }
 
-    /// Returns whether every lease that this process may have extended has expired.
-    pub const fn is_lease_expired(&self, now_ms: u64) -> bool {
+    /// Returns whether a run has certainly ended, since every lease for it has expired.
+    ///
+    /// A run that no listing has shown may be one of an incarnation that has restarted unseen, for
+    /// which its start request was valid for the longest lease.
+    const fn is_lease_expired(&self, target_run: &TargetRun, now_ms: u64) -> bool {
+        let is_listed = matches!(target_run.confirmation, Confirmation::Listed { .. });
         now_ms >= self.lease_sent_at_ms + LEASE_EXPIRY_MS
+            && (is_listed || now_ms >= target_run.start_sent_at_ms + LEASE_EXPIRY_MS)
+    }
+
+    /// Returns whether the leases of any runs have expired.
+    pub fn has_expired_runs(&self, now_ms: u64) -> bool {
+        self.runs.iter().any(|target_run| self.is_lease_expired(target_run, now_ms))
     }
 
     /// Returns whether the lease of the target may be extended.
@@ -396,6 +406,11 @@
         Some(target_run)
     }
 
+    fn release_all(&mut self, runs: Vec<Run>, end: RunEnd) -> Vec<EndedRun> {
+        let released = runs.into_iter().filter_map(|run| self.release(run));
+        released.map(|target_run| EndedRun::tracked(target_run, end)).collect()
+    }
+
     /// Sets the phase of a run. Returns whether the target has the run.
     pub fn set_phase(&mut self, run: Run, phase: RunPhase, now_ms: u64) -> bool {
         let found = self.runs.iter_mut().find(|target_run| target_run.run == run);
@@ -472,7 +487,10 @@
         if has_restarted {
             self.begin_incarnation(now_ms);
         }
-        if !self.has_current_listing() || self.shows_another_owner(listing) {
+        if has_restarted {
+            // Requests by the clock of the former incarnation have got the longest lease.
+            self.record_lease_renewal(MAX_LEASE_MS, now_ms);
+        } else if !self.has_current_listing() || self.lists_unknown_run(listing) {
             // Another dispatcher may have renewed the lease immediately before.
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
@@ -489,12 +507,11 @@
         ended
     }
 
-    /// Returns whether the target may have obeyed another dispatcher since the last listing: it has
-    /// restarted, or lists a run that is not known here.
-    fn shows_another_owner(&self, listing: &Listing) -> bool {
+    /// Returns whether the target lists a run that is not known here, so that it may have obeyed
+    /// another dispatcher since the last listing.
+    fn lists_unknown_run(&self, listing: &Listing) -> bool {
         let is_known = |run: Run| self.runs.iter().any(|target_run| target_run.run == run);
-        self.listed.is_some_and(|last| last.started_unix_ms != listing.started_unix_ms)
-            || listing.running.iter().any(|listed| !is_known(listed.run))
+        listing.running.iter().any(|listed| !is_known(listed.run))
     }
 
     /// Updates the clock from the answer to a start request that was sent at `requested_at_ms`. Returns
@@ -511,6 +528,8 @@
         };
         if last.precedes_restart(&reading) {
             self.unlisted_clock = Some(reading);
+            // Requests by the clock of the former incarnation have got the longest lease.
+            self.record_lease_renewal(MAX_LEASE_MS, now_ms);
             return true;
         }
         if !last.follows_restart(&reading) {
@@ -616,26 +635,16 @@
             };
             should_be_listed && !listing.running.iter().any(|listed| listed.run == target_run.run)
         };
-        let missing: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|target_run| is_missing(target_run))
-            .map(|target_run| target_run.run)
-            .collect();
-        for run in missing {
-            ended.extend(
-                self.release(run).map(|target_run| EndedRun::tracked(target_run, RunEnd::Lost)),
-            );
-        }
+        let missing = self.runs.iter().filter(|target_run| is_missing(target_run));
+        let missing: Vec<Run> = missing.map(|target_run| target_run.run).collect();
+        ended.extend(self.release_all(missing, RunEnd::Lost));
     }
 
-    /// Ends all runs of the target. Must be called only once its lease has expired.
-    pub fn expire_runs(&mut self) -> Vec<EndedRun> {
-        self.used = Capacity::default();
-        self.runs
-            .drain(..)
-            .map(|target_run| EndedRun::tracked(target_run, RunEnd::Lapsed))
-            .collect()
+    /// Ends the runs whose leases have expired.
+    pub fn expire_runs(&mut self, now_ms: u64) -> Vec<EndedRun> {
+        let expired = self.runs.iter().filter(|run| self.is_lease_expired(run, now_ms));
+        let expired: Vec<Run> = expired.map(|target_run| target_run.run).collect();
+        self.release_all(expired, RunEnd::Lapsed)
     }
 
     /// Discards ends that a resumed job can no longer need.
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -162,4 +162,34 @@
         harness.submit(Submission { earlier_runs: EarlierRuns::OwnZone, ..job(JOB, vec![step(1)]) });
         assert_eq!(harness.take_answers(), [JobAnswer::Completed]);
     }
+
+    // Guards against a run that outlives the return of its caller, since its target granted the longest lease by another clock.
+    restarted_target_gets_no_task_that_could_outlive_the_return_of_its_caller(harness: [32]) {
+        start_while_first_listing_is_requested(&mut harness);
+        let job = job("00000000000000bb", vec![step(1)]);
+        harness.submit(Submission { caller_check_age_ms: 300, ..job });
+        assert_eq!(harness.take_starts(), []);
+    }
+
+    // Guards against the same if a listing is the first message that shows the restart.
+    listed_restart_leaves_no_time_for_a_task_that_could_outlive_the_return_of_its_caller(harness: [32]) {
+        harness.advance(500);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), harness.now_ms - 1, &[]);
+        harness.submit(Submission { caller_check_age_ms: 300, ..job(JOB, vec![step(1)]) });
+        assert_eq!(harness.take_starts(), []);
+    }
+
+    // Guards against a second run of a task that a target, restarted unseen, has started under the longest lease.
+    unlisted_run_of_a_silent_target_is_lost_once_the_longest_lease_has_expired(harness: [16, 16]) {
+        harness.lease_until_ms(0);
+        harness.advance(400);
+        harness.submit(Submission { deadline_ms: 60_000, ..job(JOB, vec![step(1)]) });
+        let (target, run) = harness.take_starts().remove(0);
+        harness.apply_start_outcome(0, run, StartOutcome::Unanswered);
+        harness.dispatcher.set_target_reachable(&target, false, harness.now_ms);
+        harness.advance(LEASE_EXPIRY_MS - 5);
+        assert_eq!(harness.take_starts(), []);
+        harness.advance(10);
+        assert_eq!(harness.take_starts().len(), 1);
+    }
 }
