Give each incarnation of a simulated target a start of its own

What was seen: run 1 of a task crashes its target, and the owner starts run 2 there within a millisecond. Run 2 crashes the target as well, and 102 ms later counts as lost with no new incarnation (no 647), so that its crash is not counted, and run 3 crashes the third.

Cause: a simulated target that crashed twice within a millisecond had the same start as before. A start in ms identifies an incarnation, and no process starts twice in one; the double reported two incarnations as one.

--- a/crates/standin/src/simulated_target.rs
+++ b/crates/standin/src/simulated_target.rs
@@ -122,7 +122,10 @@
             self.record_run(&run, now_ms, RunEnd::Lost);
         }
         let records = std::mem::take(&mut self.records);
-        *self = SimulatedTarget { records, ..SimulatedTarget::new(self.capacity, now_ms) };
+        let next = SimulatedTarget::new(self.capacity, now_ms);
+        // A crash in the first millisecond of an incarnation begins another one all the same.
+        let started_unix_ms = next.started_unix_ms.max(self.started_unix_ms + 1);
+        *self = SimulatedTarget { records, started_unix_ms, ..next };
     }
 
     /// Returns the time at which the next run ends by itself or the lease of running tasks expires.
