Play silent restarts of targets with late listings on real processes

Neither the tests nor the soak had a target that starts again under its id while its owner takes it for alive, nor listings that are overtaken by answers.

The stand-in of a target can crash silently, start again, and send its listings late. task_on_a_target_that_restarts_silently_is_not_started_twice plays 600 jobs on 24 targets, of which one crashes every 0.6 s for 50 ms. The soak has such restarts and late listings from seed 3000 on; seed 3000 is one of those that always run.

--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -15,8 +15,8 @@
 };
 
 use async_std::{net::UdpSocket, task};
-use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, job_state, run_spec};
-use futures::future::join_all;
+use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, Target, job_state, run_spec};
+use futures::future::{join, join_all};
 use ggb_http::Reply;
 use ggb_membership::{MAX_HEARTBEAT_BYTES, Node, Ownership};
 use ggb_placement::{Capacity, RunEnd};
@@ -90,6 +90,47 @@
     assert_eq!((reply.status, job_state(&reply).as_deref()), (StatusCode::Ok, Some("completed")));
 }
 
+/// Time between two crashes of targets, and time for which the target is down.
+const CRASH_INTERVAL_MS: u64 = 600;
+const DOWN_MS: u64 = 50;
+
+// Guards against a second run of a task that a restarted target has started, since answers overtake listings.
+#[async_std::test]
+async fn task_on_a_target_that_restarts_silently_is_not_started_twice() {
+    let size = FleetSize { zones: 1, nodes_per_zone: 2, targets_per_zone: 24 };
+    let fleet = Fleet::spawn(74, size).await;
+    fleet.targets.iter().for_each(|target| target.standin.set_listing_delay(25));
+    let demand = Capacity { cpu_milli: 1_000, memory_mb: 64, gpus: 0 };
+    let spec = RunSpec { demand, ..run_spec(170) };
+    let load = (0..600).map(|index| {
+        let fleet = &fleet;
+        async move {
+            task::sleep(Duration::from_millis(15 * index)).await;
+            fleet.submit_with_spec(index as usize % 2, rand::random(), 2, spec).await
+        }
+    });
+    let crashes = async {
+        for _ in 0..15 {
+            task::sleep(Duration::from_millis(CRASH_INTERVAL_MS - DOWN_MS)).await;
+            let last_started = |target: &Target| {
+                target.standin.records().iter().map(|record| record.started_at_ms).max()
+            };
+            let busiest =
+                (0..fleet.targets.len()).max_by_key(|index| last_started(&fleet.targets[*index]));
+            let index = busiest.expect("the fleet has targets");
+            fleet.targets[index].standin.crash_silently();
+            task::sleep(Duration::from_millis(DOWN_MS)).await;
+            fleet.targets[index].standin.start_again();
+            fleet.list_target(index, "ready");
+        }
+    };
+    let (replies, ()) = join(join_all(load), crashes).await;
+    let states = replies.iter().map(|reply| reply.as_ref().and_then(job_state));
+    let completed = states.filter(|state| state.as_deref() == Some("completed")).count();
+    assert!(completed > replies.len() / 2, "{completed} of {} jobs completed", replies.len());
+    fleet.assert_no_concurrent_runs();
+}
+
 macro_rules! cases {
     ($($name:ident($net_octet:literal, $fleet:ident) $body:block)+) => {
         $(
--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -81,6 +81,11 @@
                 self.fleet.targets[target].standin.crash();
                 self.fleet.list_target(target, "ready");
             }
+            Fault::RestartSilently(target) => {
+                let to = self.endpoints(LinkEndpoint::Target(target));
+                self.relay.silence_open_connections(&Endpoints::Any, &to);
+                self.fleet.targets[target].standin.crash_silently();
+            }
             Fault::Target(target, mode) => self.fleet.targets[target].standin.set_mode(mode),
             Fault::Unlist(target) => {
                 self.fleet.store.remove("servers", self.fleet.targets[target].standin.id());
@@ -112,6 +117,10 @@
             Fault::Target(target, _) => {
                 self.fleet.targets[target].standin.set_mode(SimulatedTargetMode::Healthy);
             }
+            Fault::RestartSilently(target) => {
+                self.fleet.targets[target].standin.start_again();
+                self.fleet.list_target(target, "ready");
+            }
             Fault::Unlist(target) | Fault::DrainTarget(target) => {
                 self.fleet.list_target(target, "ready");
             }
@@ -244,6 +253,8 @@
     let plan = FaultPlan::generate(seed);
     let relay = Relay::default();
     let fleet = Fleet::spawn_behind_relay(relay.clone(), net_octet, plan.size).await;
+    let targets = fleet.targets.iter();
+    targets.for_each(|target| target.standin.set_listing_delay(plan.listing_delay_ms));
     let nodes: Arc<[SocketAddr]> =
         (0..fleet.nodes.len()).map(|index| fleet.caller_addr(index)).collect();
     let is_down = vec![false; fleet.nodes.len()];
@@ -289,7 +300,8 @@
 ///   next one; its job must not fail for that.
 /// * 1080: a request reaches a node that is about to exit after a planned stop.
 /// * 2000: connections that go silent while new ones work.
-const SEEDS: [u64; 9] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000];
+/// * 3000: targets that restart silently and whose listings are overtaken.
+const SEEDS: [u64; 10] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000, 3_000];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/greengagebeam/tests/soak/plan.rs
+++ b/crates/greengagebeam/tests/soak/plan.rs
@@ -25,6 +25,13 @@
 /// Maximum number of times at which open connections go silent, from [`FIRST_SEED_WITH_SILENCE`] on.
 const MAX_SILENCES: usize = 3;
 
+/// First seed of which targets restart silently and send their listings late. Earlier seeds stay as
+/// they were when they failed.
+const FIRST_SEED_WITH_SILENT_RESTARTS: u64 = 3_000;
+
+/// Maximum number of silent restarts, from [`FIRST_SEED_WITH_SILENT_RESTARTS`] on.
+const MAX_SILENT_RESTARTS: usize = 5;
+
 /// Endpoint of the traffic that a link fault affects.
 #[derive(Clone, Copy, Debug)]
 pub enum LinkEndpoint {
@@ -74,6 +81,8 @@
     Configure,
     /// A target loses all its runs and starts a new incarnation.
     Crash(usize),
+    /// A target crashes, answers nothing, and starts a new incarnation when the fault ends.
+    RestartSilently(usize),
     /// A target fails or stalls the runs that it starts.
     Target(usize, SimulatedTargetMode),
     /// A target is removed from the list, and put back when the fault ends.
@@ -101,6 +110,8 @@
     pub callers: usize,
     /// Share of the jobs that crash each target that starts them.
     pub crash_percent: u32,
+    /// Time by which targets send a listing later than they make it.
+    pub listing_delay_ms: u64,
 }
 
 impl FaultPlan {
@@ -139,10 +150,20 @@
                 ),
             }));
         }
+        let mut listing_delay_ms = 0;
+        if seed >= FIRST_SEED_WITH_SILENT_RESTARTS && !planned_only {
+            let restarts = rng.random_range(1..=MAX_SILENT_RESTARTS);
+            faults.extend((0..restarts).map(|_| ScheduledFault {
+                start_ms: rng.random_range(500..MAX_FAULT_END_MS),
+                duration_ms: rng.random_range(10..=150),
+                fault: Fault::RestartSilently(random_target(&mut rng, size)),
+            }));
+            listing_delay_ms = rng.random_range(0..=40);
+        }
         faults.sort_by_key(|scheduled| scheduled.start_ms);
         let callers = rng.random_range(4..=24);
         let crash_percent = if seed < FIRST_SEED_WITH_CRASHES { 0 } else { CRASH_PERCENT };
-        FaultPlan { size, planned_only, faults, callers, crash_percent }
+        FaultPlan { size, planned_only, faults, callers, crash_percent, listing_delay_ms }
     }
 }
 
--- a/crates/standin/src/run_target.rs
+++ b/crates/standin/src/run_target.rs
@@ -1,6 +1,14 @@
 //! Stand-in for a target of `ggb-node`: starts, stops and lists runs of tasks over HTTP.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use async_std::task;
 use error_stack::Report;
@@ -38,11 +46,22 @@
 /// Stand-in for a target of the platform: a [`SimulatedTarget`] that is reached over HTTP.
 pub struct RunTargetStandin {
     id: String,
-    target: Arc<Mutex<SimulatedTarget>>,
+    served: Arc<ServedTarget>,
     capacity: Capacity,
     server: HttpServer,
 }
 
+/// A simulated target and how it is reached.
+struct ServedTarget {
+    target: Mutex<SimulatedTarget>,
+    /// Whether requests get no answer.
+    is_down: AtomicBool,
+    /// Whether requests for listings that an earlier incarnation received get no answer.
+    crashed_silently: AtomicBool,
+    /// Time by which a listing is sent later than it is made, in ms.
+    listing_delay_ms: AtomicU64,
+}
+
 /// Body of a start, stop or listing request; fields that a kind of request lacks are empty.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -73,14 +92,19 @@
         addr: SocketAddr,
         capacity: Capacity,
     ) -> Result<Self, Report<HttpError>> {
-        let target = Arc::new(Mutex::new(SimulatedTarget::new(capacity, unix_time_ms())));
-        let shared = Arc::clone(&target);
+        let served = Arc::new(ServedTarget {
+            target: Mutex::new(SimulatedTarget::new(capacity, unix_time_ms())),
+            is_down: AtomicBool::new(false),
+            crashed_silently: AtomicBool::new(false),
+            listing_delay_ms: AtomicU64::new(0),
+        });
+        let shared = Arc::clone(&served);
         let handler = move |request: Request| {
-            let target = Arc::clone(&shared);
-            async move { handle(&target, request).await }
+            let served = Arc::clone(&shared);
+            async move { handle(&served, request).await }
         };
         let server = HttpServer::bind(addr, ServerLimits::default(), handler).await?;
-        Ok(RunTargetStandin { id: id.to_owned(), target, capacity, server })
+        Ok(RunTargetStandin { id: id.to_owned(), served, capacity, server })
     }
 
     /// Returns the name of the target.
@@ -115,36 +139,59 @@
                 "gpu": self.capacity.gpus,
             },
             "labels": ["a", "r-1"],
-            "born": self.target.lock().started_unix_ms(),
+            "born": self.served.target.lock().started_unix_ms(),
             "seqNo": 1,
         })
     }
 
     /// Sets how runs that start from now on behave.
     pub fn set_mode(&self, mode: SimulatedTargetMode) {
-        self.target.lock().mode = mode;
+        self.served.target.lock().mode = mode;
+    }
+
+    /// Sends listings `delay_ms` later than they are made, so that answers to other requests may
+    /// overtake them.
+    pub fn set_listing_delay(&self, delay_ms: u64) {
+        self.served.listing_delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Ends all runs and answers nothing more until [`RunTargetStandin::start_again`].
+    pub fn crash_silently(&self) {
+        self.served.is_down.store(true, Ordering::Relaxed);
+        self.served.crashed_silently.store(true, Ordering::Relaxed);
+        self.crash();
+    }
+
+    /// Starts a new incarnation, which answers requests.
+    pub fn start_again(&self) {
+        self.crash();
+        self.served.is_down.store(false, Ordering::Relaxed);
     }
 
     /// Ends all runs and starts a new incarnation, like a crash and restart.
     pub fn crash(&self) {
-        self.target.lock().crash(unix_time_ms());
+        self.served.target.lock().crash(unix_time_ms());
     }
 
     /// Returns all runs so far, with those in progress as ending now.
     pub fn records(&self) -> Vec<RunRecord> {
-        let mut target = self.target.lock();
+        let mut target = self.served.target.lock();
         let now_ms = unix_time_ms();
         target.advance(now_ms);
         target.records(now_ms)
     }
 }
 
-async fn handle(target: &Mutex<SimulatedTarget>, mut request: Request) -> Response {
+async fn handle(served: &ServedTarget, mut request: Request) -> Response {
     let path = request.url().path().to_owned();
     let body = read_body(&mut request, MAX_BODY_BYTES).await.unwrap_or_default();
     let Ok(message) = serde_json::from_slice::<RunRequest>(&body) else {
         return Response::new(StatusCode::BadRequest);
     };
+    if served.is_down.load(Ordering::Relaxed) {
+        return future::pending().await;
+    }
+    let target = &served.target;
     match path.as_str() {
         "/v1/run-start" => start_run(target, &message),
         "/v1/run-stop" => {
@@ -156,7 +203,7 @@
             let is_accepted = target.stop(message.fencing_token, run, now_ms);
             result_response(is_accepted, target.clock_ms(now_ms), "fence")
         }
-        "/v1/hold" => hold(target, &message).await,
+        "/v1/hold" => hold(served, &message).await,
         _ => Response::new(StatusCode::NotFound),
     }
 }
@@ -198,24 +245,37 @@
 }
 
 /// Returns a listing as soon as it has a finished run, at the latest after `wait_ms`.
-async fn hold(target: &Mutex<SimulatedTarget>, message: &RunRequest) -> Response {
+async fn hold(served: &ServedTarget, message: &RunRequest) -> Response {
     let until_ms = unix_time_ms() + message.wait_ms;
     let now_ms = unix_time_ms();
+    let target = &served.target;
     let held =
         target.lock().hold(message.fencing_token, message.ack_cursor, message.deadline_ms, now_ms);
-    if held.is_none() {
+    let Some(held) = held else {
         return result_response(false, target.lock().clock_ms(now_ms), "fence");
-    }
-    loop {
+    };
+    let is_lost = || {
+        served.crashed_silently.load(Ordering::Relaxed)
+            && target.lock().started_unix_ms() != held.started_unix_ms
+    };
+    let listing = loop {
         let now_ms = unix_time_ms();
         {
             let mut target = target.lock();
             target.advance(now_ms);
             if target.has_finished_runs() || now_ms >= until_ms {
-                return json_response(StatusCode::Ok, &encode_listing(&target.list(now_ms)));
+                break target.list(now_ms);
             }
         }
         task::sleep(Duration::from_millis(HOLD_POLL_MS)).await;
+    };
+    let delay_ms = served.listing_delay_ms.load(Ordering::Relaxed);
+    if delay_ms > 0 {
+        task::sleep(Duration::from_millis(delay_ms)).await;
+    }
+    match is_lost() {
+        true => future::pending().await,
+        false => json_response(StatusCode::Ok, &encode_listing(&listing)),
     }
 }
 
