Clear the loss of a run that an earlier owner started on a restarted target

A new owner that takes over with a loss of the former incarnation, and whose first listing shows the run on the new one, compared the loss with the new incarnation only, so that the run stayed a crash. The incarnation that was known before counts as well.

Failed before: run_of_an_earlier_owner_that_a_restarted_target_lists_is_no_loss_of_the_former_incarnation.

--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -137,9 +137,9 @@
         let finished = listing.finished.iter().map(|listed| listed.run);
         for run in running.chain(finished) {
             let tracked = target.runs().iter().chain(ended_runs(ended));
-            let sent_to =
-                tracked.filter(|known| known.run == run).map(|known| known.sent_to_unix_ms);
-            let lost_unix_ms = sent_to.min().unwrap_or(earlier_unix_ms);
+            let sent_to = tracked.filter(|known| known.run == run);
+            let sent_to = sent_to.map(|known| known.sent_to_unix_ms);
+            let lost_unix_ms = sent_to.fold(earlier_unix_ms, u64::min);
             self.target_losses.record_survival(run.task, &id, lost_unix_ms, now_ms);
         }
         self.fail_deadly_jobs(now_ms);
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -193,3 +193,18 @@
         assert_eq!(harness.take_starts().len(), 1);
     }
 }
+
+// Guards against a run of the new incarnation that counts as a loss of the former one after a change of the owner.
+#[test]
+fn run_of_an_earlier_owner_that_a_restarted_target_lists_is_no_loss_of_the_former_incarnation() {
+    let mut earlier_owner = Harness::new(&[16]);
+    earlier_owner.submit(job(JOB, vec![step(1)]));
+    let (target, run) = earlier_owner.take_starts().remove(0);
+    earlier_owner.dispatcher.set_target_reachable(&target, false, earlier_owner.now_ms);
+    let mut new_owner = Harness::after_takeover(&[16]);
+    let losses = earlier_owner.dispatcher.target_losses().updated_since(0);
+    new_owner.dispatcher.merge_target_losses(losses, new_owner.now_ms);
+    new_owner.advance(5);
+    new_owner.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), new_owner.now_ms, &[run]);
+    assert!(!new_owner.dispatcher.target_losses().count(run.task).is_suspect());
+}
