Ignore the failure of a listing request whose target has answered a later one

A target that had restarted silently and answered again was taken for silent some 400 ms later, with all its runs as possible losses, when the request that its former incarnation had left open failed.

Cause: the time at which the failed request was sent was not compared with that of the last listing.

Fix: such a failure is logged (648) and has no effect.

Failed before: failed_request_to_the_former_incarnation_does_not_make_a_restarted_target_unreachable.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -374,10 +374,17 @@
 
     /// Records that a target did not answer a listing request, which failed after `took_ms` of at
     /// most `timeout_ms`.
+    ///
+    /// The failure shows nothing about a target that has answered a later request: it may have restarted
+    /// and left the earlier request without an answer.
     pub fn record_listing_failure(&mut self, id: &str, took_ms: u64, timeout_ms: u64, now_ms: u64) {
-        if let Some(target) = self.target_mut(id) {
-            target.record_listing_failure(took_ms, timeout_ms);
+        let requested_at_ms = now_ms.saturating_sub(took_ms);
+        let Some(target) = self.target_mut(id) else { return };
+        if target.has_listing_since(requested_at_ms + 1) {
+            log_event!(info, ListingFailureIgnored, target = id, took_ms);
+            return;
         }
+        target.record_listing_failure(took_ms, timeout_ms);
         self.set_target_reachable(id, false, now_ms);
         self.place_tasks(now_ms);
     }
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -192,6 +192,16 @@
         harness.advance(10);
         assert_eq!(harness.take_starts().len(), 1);
     }
+
+    // Guards against a restarted target that counts as silent, with its runs, for a request that the former incarnation left open.
+    failed_request_to_the_former_incarnation_does_not_make_a_restarted_target_unreachable(harness: [16]) {
+        let (run, _) = start_while_first_listing_is_requested(&mut harness);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS + 20), harness.now_ms - 1, &[run]);
+        harness.advance(5);
+        harness.dispatcher.record_listing_failure(&target_id(0), 400, 400, harness.now_ms);
+        assert!(!harness.dispatcher.targets()[0].is_unreachable());
+        assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
+    }
 }
 
 // Guards against a run of the new incarnation that counts as a loss of the former one after a change of the owner.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -143,6 +143,8 @@
     TargetRestartSeen = 646,
     /// A listing is the first one of a new incarnation of a target.
     TargetRestarted = 647,
+    /// A request for a listing failed whose target has answered a later one.
+    ListingFailureIgnored = 648,
     /// This process became the owner of the targets of its availability zone.
     OwnershipTaken = 660,
     /// This process released the ownership of the targets of its availability zone.
