Count a crash under the incarnation that listed the run

A run that was sent to an incarnation, reached the next one, was listed by it and then lost with it counted as two crashes: one for the incarnation that its start request was sent to, one for the incarnation that fell silent. A task under which two targets seem to have crashed fails its job.

Fix: the confirmation by a listing carries the incarnation, and losses are counted under it.

Failed before: crash_of_a_run_that_was_sent_to_the_former_incarnation_counts_once (2 crashes).

--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -43,8 +43,7 @@
                 free_cpu_milli = target.free().cpu_milli
             );
         }
-        let has_restarted = listing.started_unix_ms > earlier_unix_ms;
-        if has_restarted && !is_first_listing {
+        if listing.started_unix_ms > earlier_unix_ms {
             log_event!(
                 warn,
                 TargetRestarted,
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -79,12 +79,9 @@
         target.set_loss_recorded(now_ms);
         let target = &self.targets[target_index];
         for target_run in target.runs() {
-            let loss = TargetLoss {
-                started_unix_ms: target.started_unix_ms(),
-                was_alone: target.runs().len() == 1 && target_run.phase != RunPhase::Stopping,
-                ..loss_of_run(target, target_run, cause)
-            };
-            self.target_losses.record(loss, now_ms);
+            let loss = loss_of_run(target, target_run, cause);
+            let was_alone = loss.was_alone && target.runs().len() == 1;
+            self.target_losses.record(TargetLoss { was_alone, ..loss }, now_ms);
         }
     }
 
@@ -182,13 +179,12 @@
     }
 }
 
-/// Returns the loss of a run with the incarnation that its start request was sent to, as far as the run
-/// alone shows it.
+/// Returns the loss of a run with its target, as far as the run alone shows it.
 fn loss_of_run(target: &Target, target_run: &TargetRun, cause: LossCause) -> TargetLoss {
     TargetLoss {
         task: target_run.run.task,
         target: Arc::clone(&target.info().id),
-        started_unix_ms: target_run.sent_to_unix_ms,
+        started_unix_ms: target_run.started_unix_ms(),
         revision: 0,
         cause,
         has_started: target_run.is_confirmed(),
--- a/crates/placement/src/target/listings.rs
+++ b/crates/placement/src/target/listings.rs
@@ -47,7 +47,7 @@
         self.apply_ends(listing, now_ms, &mut ended);
         self.apply_running(listing, now_ms);
         if listing.finished.len() < MAX_LISTED_ENDS {
-            self.end_unlisted_runs(listing, has_restarted, requested_at_ms, &mut ended);
+            self.end_unlisted_runs(listing, requested_at_ms, &mut ended);
         }
         ended
     }
@@ -102,7 +102,7 @@
                         target_run.phase = RunPhase::Running;
                         target_run.phase_since_ms = now_ms;
                     }
-                    target_run.record_listing(now_ms);
+                    target_run.record_listing(listing.started_unix_ms, now_ms);
                     if target_run.progress_percent != listed.progress_percent {
                         target_run.progress_percent = listed.progress_percent;
                         target_run.last_progress_at_ms = now_ms;
@@ -115,7 +115,10 @@
                     is_demand_known: false,
                     phase: RunPhase::Orphaned,
                     phase_since_ms: now_ms,
-                    confirmation: Confirmation::Listed { at_ms: now_ms },
+                    confirmation: Confirmation::Listed {
+                        at_ms: now_ms,
+                        started_unix_ms: listing.started_unix_ms,
+                    },
                     last_stop_sent_at_ms: 0,
                     start_sent_at_ms: now_ms,
                     valid_until_clock_ms: 0,
@@ -136,14 +139,17 @@
     fn end_unlisted_runs(
         &mut self,
         listing: &Listing,
-        has_restarted: bool,
         requested_at_ms: u64,
         ended: &mut Vec<EndedRun>,
     ) {
         let is_missing = |target_run: &TargetRun| {
             let should_be_listed = match target_run.confirmation {
-                Confirmation::Listed { .. } if has_restarted => true,
-                Confirmation::Listed { at_ms } | Confirmation::Answered { at_ms } => {
+                Confirmation::Listed { started_unix_ms, .. }
+                    if started_unix_ms < listing.started_unix_ms =>
+                {
+                    true
+                }
+                Confirmation::Listed { at_ms, .. } | Confirmation::Answered { at_ms } => {
                     at_ms < requested_at_ms
                 }
                 Confirmation::None if target_run.phase == RunPhase::Ordered => false,
--- a/crates/placement/src/target_run.rs
+++ b/crates/placement/src/target_run.rs
@@ -29,10 +29,12 @@
         /// Time at which the answer arrived.
         at_ms: u64,
     },
-    /// A listing, so that the run is known to be one of the incarnation that sends listings.
+    /// A listing, which also shows the incarnation of the run.
     Listed {
         /// Time at which the first message that showed the run arrived.
         at_ms: u64,
+        /// Start of the incarnation, in ms since 1970.
+        started_unix_ms: u64,
     },
 }
 
@@ -102,15 +104,23 @@
         }
     }
 
-    /// Records that a listing that contains the run arrived.
-    pub(crate) const fn record_listing(&mut self, now_ms: u64) {
+    /// Records that a listing of the incarnation `started_unix_ms` arrived that contains the run.
+    pub(crate) const fn record_listing(&mut self, started_unix_ms: u64, now_ms: u64) {
         self.last_listed_at_ms = now_ms;
-        self.confirmation = match self.confirmation {
-            Confirmation::None => Confirmation::Listed { at_ms: now_ms },
-            Confirmation::Answered { at_ms } | Confirmation::Listed { at_ms } => {
-                Confirmation::Listed { at_ms }
-            }
+        let at_ms = match self.confirmation {
+            Confirmation::None => now_ms,
+            Confirmation::Answered { at_ms } | Confirmation::Listed { at_ms, .. } => at_ms,
         };
+        self.confirmation = Confirmation::Listed { at_ms, started_unix_ms };
+    }
+
+    /// Returns the incarnation of the run, by its start in ms since 1970: the one that listed it, or
+    /// else the one that its start request was sent to.
+    pub(crate) const fn started_unix_ms(&self) -> u64 {
+        match self.confirmation {
+            Confirmation::Listed { started_unix_ms, .. } => started_unix_ms,
+            Confirmation::None | Confirmation::Answered { .. } => self.sent_to_unix_ms,
+        }
     }
 
     /// Returns the time by which the run should have ended and been listed, including `margin_ms`.
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -202,6 +202,18 @@
         assert!(!harness.dispatcher.targets()[0].is_unreachable());
         assert!(!harness.dispatcher.target_losses().count(run.task).is_suspect());
     }
+
+    // Guards against a crash that counts twice, once with the incarnation that the start was sent to.
+    crash_of_a_run_that_was_sent_to_the_former_incarnation_counts_once(harness: [16]) {
+        let (run, requested_at_ms) = start_while_first_listing_is_requested(&mut harness);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS - 1), requested_at_ms, &[]);
+        harness.advance(5);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS + 30), harness.now_ms - 1, &[run]);
+        harness.dispatcher.set_target_reachable(&target_id(0), false, harness.now_ms);
+        harness.advance(5);
+        harness.apply_listing_after_restart((3, RESTARTED_CLOCK_MS), harness.now_ms - 1, &[]);
+        assert_eq!(harness.dispatcher.target_losses().count(run.task).crashed, 1);
+    }
 }
 
 // Guards against a run of the new incarnation that counts as a loss of the former one after a change of the owner.
