Let simulated targets answer a waiting request when a run ends

The simulation of placement let a request for a listing that began to wait before a run was started miss the end of that run, for up to 300 ms. The protocol says that the response waits for an end, and the stand-in of real processes looks each 2 ms.

--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -35,7 +35,7 @@
 
 /// A request for a listing that a target has received.
 #[derive(Clone, Copy)]
-struct ListingCall {
+pub(super) struct ListingCall {
     owner_index: usize,
     target_index: usize,
     requested_at_ms: u64,
@@ -145,7 +145,9 @@
             let work = sim.work_of(run);
             let simulated = &mut sim.targets[target_index].simulated;
             let outcome = simulated.start(token, run, work, valid_until_clock_ms, now_ms);
-            (outcome, simulated.clock_ms(now_ms))
+            let clock_ms = simulated.clock_ms(now_ms);
+            sim.schedule_end(target_index);
+            (outcome, clock_ms)
         };
         let apply_outcome = move |sim: &mut Simulation, outcome, clock_ms| {
             let now_ms = sim.now_ms;
@@ -327,10 +329,16 @@
         let simulated = &mut target.simulated;
         simulated.advance(now_ms);
         if !simulated.has_finished_runs() && now_ms < until_ms {
-            let next_ms = simulated.next_end_ms().unwrap_or(until_ms).clamp(now_ms + 1, until_ms);
-            self.schedule_after(next_ms - now_ms, move |sim| {
-                sim.answer_listing_request(call, until_ms);
+            let number = self.next_event_number;
+            target.waiting.push((number, call, until_ms));
+            self.schedule_after(until_ms - now_ms, move |sim| {
+                let waiting = &mut sim.targets[target_index].waiting;
+                if let Some(index) = waiting.iter().position(|(other, ..)| *other == number) {
+                    waiting.swap_remove(index);
+                    sim.answer_listing_request(call, until_ms);
+                }
             });
+            self.schedule_end(target_index);
             return;
         }
         let listing = simulated.list(now_ms);
@@ -346,6 +354,22 @@
         });
     }
 
+    /// Answers the requests for listings that wait for the next end of a run, when it has come.
+    fn schedule_end(&mut self, target_index: usize) {
+        let now_ms = self.now_ms;
+        let Some(end_ms) = self.targets[target_index].simulated.next_end_ms() else { return };
+        self.schedule_after(end_ms.saturating_sub(now_ms).max(1), move |sim| {
+            let now_ms = sim.now_ms;
+            let target = &mut sim.targets[target_index];
+            target.simulated.advance(now_ms);
+            if target.simulated.has_finished_runs() {
+                for (_, call, until_ms) in std::mem::take(&mut target.waiting) {
+                    sim.answer_listing_request(call, until_ms);
+                }
+            }
+        });
+    }
+
     fn apply_listing(
         &mut self,
         owner_index: usize,
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -18,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use links::Faults;
+use links::ListingCall;
 use schedule::ScheduledEvent;
 use shapes::JobShape;
 
@@ -83,11 +84,21 @@
     down_until_ms: u64,
     /// Whether requests that an earlier incarnation received get no answer.
     crashed_silently: bool,
+    /// Requests for listings that wait for the end of a run: a number, the request, and the time until
+    /// which it may wait.
+    waiting: Vec<(u64, ListingCall, u64)>,
 }
 
 impl ZoneTarget {
     const fn new(zone: usize, info: TargetInfo, simulated: SimulatedTarget) -> Self {
-        ZoneTarget { zone, info, simulated, down_until_ms: 0, crashed_silently: false }
+        ZoneTarget {
+            zone,
+            info,
+            simulated,
+            down_until_ms: 0,
+            crashed_silently: false,
+            waiting: Vec::new(),
+        }
     }
 
     const fn is_down(&self, now_ms: u64) -> bool {
