Renew the lease of a target at once when it answers again

The soak's seed 3108 (by hand) found it: a job failed as one that crashes its targets. Its run had started on a target that had just restarted silently, lapsed there 71 ms later, and the target crashed again before the end was listed.

Cause: while a target does not answer, its lease is not renewed, and a start request holds a lease for 100 ms only. The listing that showed the target again came from an extra request; the periodic one, which renews the lease, waited for the former incarnation until it failed, 262 ms later. Tasks were started in between.

Fix: a target that answers again is asked for a listing at once, which renews the lease.

Failed before: lease_of_a_target_that_answers_again_is_renewed_at_once (no request). Soak seed 3108 joins the seeds that always run; a run of it is no proof, since its fault depends on timing.

--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -301,7 +301,9 @@
 /// * 1080: a request reaches a node that is about to exit after a planned stop.
 /// * 2000: connections that go silent while new ones work.
 /// * 3000: targets that restart silently and whose listings are overtaken.
-const SEEDS: [u64; 10] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000, 3_000];
+/// * 3108: a run on a target that has just restarted lapses, since its lease is not renewed before the
+///   request that the former incarnation left open fails.
+const SEEDS: [u64; 11] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000, 3_000, 3_108];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -360,7 +360,12 @@
     pub fn set_target_reachable(&mut self, id: &str, reachable: bool, now_ms: u64) {
         let Some(target_index) = self.target_index(id) else { return };
         match (self.targets[target_index].set_unreachable(!reachable), reachable) {
-            (true, true) => log_event!(info, TargetReachable, target = id),
+            (true, true) => {
+                log_event!(info, TargetReachable, target = id);
+                // The lease was not renewed meanwhile, and the periodic request may still wait for an
+                // earlier incarnation.
+                self.push_listing_request(target_index, now_ms);
+            }
             (true, false) => {
                 log_event!(warn, TargetUnreachable, target = id);
                 self.record_target_loss(target_index, LossCause::Unknown, now_ms);
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -214,6 +214,18 @@
         harness.apply_listing_after_restart((3, RESTARTED_CLOCK_MS), harness.now_ms - 1, &[]);
         assert_eq!(harness.dispatcher.target_losses().count(run.task).crashed, 1);
     }
+
+    // Guards against runs that lapse on a restarted target, while the periodic request waits for the former incarnation.
+    lease_of_a_target_that_answers_again_is_renewed_at_once(harness: [16]) {
+        harness.advance(50);
+        harness.dispatcher.set_target_reachable(&target_id(0), false, harness.now_ms);
+        harness.submit(job(JOB, vec![step(1)]));
+        harness.advance(5);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), harness.now_ms - 1, &[]);
+        harness.dispatcher.set_target_reachable(&target_id(0), true, harness.now_ms);
+        assert_eq!(harness.take_listing_requests(), [target_id(0)]);
+        assert!(harness.lease_until_ms(0).is_some());
+    }
 }
 
 // Guards against a run of the new incarnation that counts as a loss of the former one after a change of the owner.
