--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -205,6 +205,7 @@
             let target = &mut sim.targets[target_index];
             if !target.is_down(now_ms) {
                 target.simulated.stop(token, run, now_ms);
+                sim.answer_waiting_requests(target_index);
             }
         });
     }
@@ -359,17 +360,21 @@
         let now_ms = self.now_ms;
         let Some(end_ms) = self.targets[target_index].simulated.next_end_ms() else { return };
         self.schedule_after(end_ms.saturating_sub(now_ms).max(1), move |sim| {
-            let now_ms = sim.now_ms;
-            let target = &mut sim.targets[target_index];
-            target.simulated.advance(now_ms);
-            if target.simulated.has_finished_runs() {
-                for (_, call, until_ms) in std::mem::take(&mut target.waiting) {
-                    sim.answer_listing_request(call, until_ms);
-                }
-            }
+            sim.answer_waiting_requests(target_index)
         });
     }
 
+    /// Answers the requests for listings that wait for the end of a run, if one has ended.
+    fn answer_waiting_requests(&mut self, target_index: usize) {
+        let target = &mut self.targets[target_index];
+        target.simulated.advance(self.now_ms);
+        if target.simulated.has_finished_runs() {
+            for (_, call, until_ms) in std::mem::take(&mut target.waiting) {
+                self.answer_listing_request(call, until_ms);
+            }
+        }
+    }
+
     fn apply_listing(
         &mut self,
         owner_index: usize,
