--- a/crates/placement/src/target_clock.rs
+++ b/crates/placement/src/target_clock.rs
@@ -18,7 +18,7 @@
 }
 
 impl ClockReading {
-    /// Returns the time that the clock shows at `now_ms`, at most.
+    /// Returns the estimated time of the clock at `now_ms`, as if the answer had taken no time.
     pub(crate) const fn estimate_ms(&self, now_ms: u64) -> u64 {
         self.clock_ms + now_ms.saturating_sub(self.read_at_ms)
     }
