Restart polling of a target's listings with each incarnation

Cause: after a silent restart the periodic request for listings waits up to 400 ms on the connection of the former incarnation. Ends on the new one stay unlisted until then, unless an extra request shows them.

Change: the dispatcher has the action RestartPolling, for the first listing of an incarnation, for a restart that an answer shows, and for a target that answers again; the owner abandons the open request or the delay after a failure and sends the next one. A poll that finds a later one of its target ends, so that a target that is removed and listed again is not polled twice. A request to an incarnation that no listing has shown may not wait. The simulation restarts its polls likewise.

Result: polling_restarts_with_the_first_listing_of_an_incarnation, polling_restarts_when_a_target_answers_again and listing_is_requested_without_delay_when_an_answer_shows_a_restart fail with the action left out and the wait allowed as before, and pass now; the tests of ggb-placement pass.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod configuration;
 mod directory;
 mod lending;
+mod listing_polls;
 mod metrics;
 mod open_requests;
 mod owner;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -10,7 +10,11 @@
 };
 
 use async_std::task;
-use futures::channel::oneshot;
+use futures::{
+    channel::oneshot,
+    future::{Either, select},
+    pin_mut,
+};
 use ggb_adapter::{ListingReply, StartReply, TargetClient};
 use ggb_model::{Zone, token_after_restarts};
 use ggb_placement::{
@@ -20,7 +24,9 @@
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
 
-use crate::{lending::offload_part, process::CONNECT_TIMEOUT_MS, shared::Shared};
+use crate::{
+    lending::offload_part, listing_polls::ListingPolls, process::CONNECT_TIMEOUT_MS, shared::Shared,
+};
 
 /// Maximum time for which a target delays a listing until a run ends; well within a lease, so
 /// that the lease survives one lost message.
@@ -60,6 +66,7 @@
     next_request: u64,
     /// Senders that cancel the parts offloaded to other zones, by part; dropping one cancels.
     part_cancel_senders: Vec<(u64, oneshot::Sender<()>)>,
+    listing_polls: ListingPolls,
 }
 
 /// Returns the answer to a job whose owner stopped without reporting which tasks it started.
@@ -116,6 +123,7 @@
             answer_senders: Vec::new(),
             next_request: 0,
             part_cancel_senders: Vec::new(),
+            listing_polls: ListingPolls::default(),
         };
         let targets = shared.targets.lock().clone();
         let owner = Arc::new(Owner {
@@ -304,6 +312,7 @@
             Action::RequestListing { target } => {
                 task::spawn(Arc::clone(self).request_listing_now(target));
             }
+            Action::RestartPolling { target } => self.state.lock().listing_polls.restart(&target),
             Action::OffloadPart { part, zone, submission } => {
                 let (cancel, cancelled) = oneshot::channel();
                 self.state.lock().part_cancel_senders.push((part, cancel));
@@ -365,24 +374,39 @@
     }
 
     /// Requests listings of a target until the dispatcher no longer knows it or the owner stops.
+    ///
+    /// A request to a former incarnation of the target may wait until it times out, so that polling
+    /// restarts with each incarnation.
     async fn poll_listings(self: Arc<Self>, target: Arc<str>) {
+        let mut failures = 0;
+        while !self.stopped.load(Ordering::Relaxed) {
+            let restarted = self.state.lock().listing_polls.begin(&target);
+            let poll = self.poll_listing_once(&target, failures);
+            pin_mut!(poll);
+            failures = match select(poll, restarted).await {
+                Either::Left((Some(failures), _)) => failures,
+                Either::Right((Ok(()), _)) => 0,
+                // The dispatcher does not know the target, or a later poll of it has begun.
+                Either::Left((None, _)) | Either::Right((Err(_), _)) => break,
+            };
+        }
+        self.state.lock().listing_polls.remove_ended();
+    }
+
+    /// Requests a listing of a target after `failures` requests in a row have failed, and waits before
+    /// the next one if it fails too. Returns the number of failures since the last listing, or `None`
+    /// if the dispatcher does not know the target.
+    async fn poll_listing_once(self: &Arc<Self>, target: &str, failures: u32) -> Option<u32> {
         let lease_ms = self.shared.settings.max_lease_ms;
         let listing_wait_ms =
             MAX_LISTING_WAIT_MS.min(lease_ms * MAX_LISTING_WAIT_LEASE_PERCENT / 100);
-        let mut failures = 0;
-        while !self.stopped.load(Ordering::Relaxed) {
-            let wait_ms = if failures == 0 { listing_wait_ms } else { 0 };
-            match self.request_listing(&target, wait_ms).await {
-                None => return,
-                Some(true) => failures = 0,
-                Some(false) => {
-                    let delay_ms =
-                        (INITIAL_RETRY_DELAY_MS << failures.min(4)).min(MAX_RETRY_DELAY_MS);
-                    failures += 1;
-                    task::sleep(Duration::from_millis(delay_ms)).await;
-                }
-            }
+        let wait_ms = if failures == 0 { listing_wait_ms } else { 0 };
+        if self.request_listing(target, wait_ms).await? {
+            return Some(0);
         }
+        let delay_ms = (INITIAL_RETRY_DELAY_MS << failures.min(4)).min(MAX_RETRY_DELAY_MS);
+        task::sleep(Duration::from_millis(delay_ms)).await;
+        Some(failures + 1)
     }
 
     /// Requests a listing that the target sends at once, instead of waiting for a run to end.
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -321,6 +321,7 @@
         {
             log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
             self.request_listing(target_index, now_ms);
+            self.restart_polling(target_index);
         }
         let Some(target_run) = target_run else { return };
         let target = &mut self.targets[target_index];
@@ -365,6 +366,7 @@
                 // The lease was not renewed meanwhile, and the periodic request may still wait for an
                 // earlier incarnation.
                 self.push_listing_request(target_index, now_ms);
+                self.restart_polling(target_index);
             }
             (true, false) => {
                 log_event!(warn, TargetUnreachable, target = id);
@@ -492,6 +494,11 @@
         self.actions.push(Action::RequestListing { target });
     }
 
+    fn restart_polling(&mut self, target_index: usize) {
+        let target = Arc::clone(&self.targets[target_index].info().id);
+        self.actions.push(Action::RestartPolling { target });
+    }
+
     /// Requests the listings that released jobs wait for.
     fn request_awaited_listings(&mut self, now_ms: u64) {
         let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
--- a/crates/placement/src/dispatcher/action.rs
+++ b/crates/placement/src/dispatcher/action.rs
@@ -74,6 +74,12 @@
         /// Id of the target.
         target: Arc<str>,
     },
+    /// Abandon the periodic listing request to a target, which may wait for its former incarnation, and
+    /// send the next one immediately.
+    RestartPolling {
+        /// Id of the target.
+        target: Arc<str>,
+    },
     /// Submit part of a job to the dispatcher of another zone.
     OffloadPart {
         /// Number of the part.
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -56,6 +56,7 @@
                 finished = listing.finished.len(),
                 ended = ended.len()
             );
+            self.restart_polling(target_index);
         }
         for ended in ended {
             self.apply_run_end(target_index, ended, requested_at_ms, now_ms);
--- a/crates/placement/src/dispatcher/renewal.rs
+++ b/crates/placement/src/dispatcher/renewal.rs
@@ -40,7 +40,9 @@
             seen_restarts: target.seen_restarts(),
             ack_cursor: target.ack_cursor(),
             lease_until_clock_ms,
-            may_wait: target.has_current_listing() && !target.is_unreachable(),
+            may_wait: target.has_current_listing()
+                && target.is_incarnation_listed()
+                && !target.is_unreachable(),
         })
     }
 
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -254,13 +254,18 @@
         clock.map(|clock| clock.estimate_ms(now_ms))
     }
 
+    /// Returns whether a listing has shown the incarnation that last answered.
+    pub const fn is_incarnation_listed(&self) -> bool {
+        self.unlisted_clock.is_none()
+    }
+
     /// Returns the sequence number of the last end that was processed. The target may discard ends
     /// up to this number, and delays its next listing only while it has no later end.
     ///
     /// The numbers start anew with each incarnation, so none is returned while it is not known which
     /// incarnation gets it.
     pub const fn ack_cursor(&self) -> u64 {
-        if self.unlisted_clock.is_some() { 0 } else { self.last_end_number }
+        if self.is_incarnation_listed() { self.last_end_number } else { 0 }
     }
 
     /// Records that a message that extends the lease by `lease_ms` is about to be sent.
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -169,6 +169,15 @@
         requests.collect()
     }
 
+    /// Takes the pending actions and returns the targets whose polling is restarted.
+    pub fn take_polling_restarts(&mut self) -> Vec<String> {
+        let restarts = self.take_actions().into_iter().filter_map(|action| match action {
+            Action::RestartPolling { target } => Some(target.to_string()),
+            _ => None,
+        });
+        restarts.collect()
+    }
+
     pub fn take_stops(&mut self) -> Vec<Run> {
         let stops = self.take_actions().into_iter().filter_map(|action| match action {
             Action::Stop { run, .. } => Some(run),
--- a/crates/placement/tests/restarted_target.rs
+++ b/crates/placement/tests/restarted_target.rs
@@ -226,6 +226,38 @@
         assert_eq!(harness.take_listing_requests(), [target_id(0)]);
         assert!(harness.lease_until_ms(0).is_some());
     }
+
+    // Guards against ends on a restarted target that stay unlisted while the periodic request waits for the former incarnation.
+    polling_restarts_with_the_first_listing_of_an_incarnation(harness: [16]) {
+        harness.advance(50);
+        harness.take_actions();
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS), harness.now_ms - 1, &[]);
+        assert_eq!(harness.take_polling_restarts(), [target_id(0)]);
+        harness.advance(5);
+        harness.apply_listing_after_restart((2, RESTARTED_CLOCK_MS + 5), harness.now_ms - 1, &[]);
+        assert_eq!(harness.take_polling_restarts(), Vec::<String>::new());
+    }
+
+    // Guards against the same for a target that has not restarted, but was silent on the connection of the request.
+    polling_restarts_when_a_target_answers_again(harness: [16]) {
+        harness.dispatcher.set_target_reachable(&target_id(0), false, harness.now_ms);
+        assert_eq!(harness.take_polling_restarts(), Vec::<String>::new());
+        harness.dispatcher.set_target_reachable(&target_id(0), true, harness.now_ms);
+        assert_eq!(harness.take_polling_restarts(), [target_id(0)]);
+    }
+
+    // Guards against a restart that only the extra request shows, which may just have been sent to the former incarnation.
+    listing_is_requested_without_delay_when_an_answer_shows_a_restart(harness: [16]) {
+        harness.advance(50);
+        harness.submit(job(JOB, vec![step(1)]));
+        let (target, run) = harness.take_starts().remove(0);
+        harness.advance(5);
+        let (accepted, clock_ms) = (StartOutcome::Accepted, Some(RESTARTED_CLOCK_MS));
+        harness.dispatcher.apply_start_outcome(&target, run, 0, accepted, clock_ms, harness.now_ms);
+        assert_eq!(harness.take_polling_restarts(), [target_id(0)]);
+        let request = harness.dispatcher.listing_request(&target, harness.now_ms);
+        assert!(!request.expect("the target is known").may_wait);
+    }
 }
 
 // Guards against a run of the new incarnation that counts as a loss of the former one after a change of the owner.
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -41,8 +41,9 @@
     requested_at_ms: u64,
     /// Time for which the target may delay the listing.
     wait_ms: u64,
-    /// Whether the next listing is requested after this one.
-    repeat: bool,
+    /// For a periodic request, which the next one follows: the number of times that polling had been
+    /// restarted.
+    poll: Option<u32>,
     /// Incarnation of the target that received the request.
     started_unix_ms: u64,
 }
@@ -102,7 +103,12 @@
                     self.send_stop(owner_index, self.target_index(&target), run, seen_restarts);
                 }
                 Action::RequestListing { target } => {
-                    self.request_listing(owner_index, self.target_index(&target), 0, false)
+                    self.request_listing(owner_index, self.target_index(&target), 0, None)
+                }
+                Action::RestartPolling { target } => {
+                    let target_index = self.target_index(&target);
+                    self.owners[owner_index].count_poll_restart(target_index);
+                    self.poll_target(owner_index, target_index, 0);
                 }
                 Action::OffloadPart { part, zone, submission } => {
                     self.offload_part(owner_index, part, &zone, submission)
@@ -212,17 +218,34 @@
 
     /// Requests listings from a target repeatedly for as long as the owner is alive.
     pub(super) fn poll_target(&mut self, owner_index: usize, target_index: usize, pause_ms: u64) {
+        let poll = self.owners[owner_index].poll_restarts(target_index);
         self.schedule_on_owner(owner_index, pause_ms, move |sim| {
-            sim.request_listing(owner_index, target_index, LISTING_WAIT_MS, true)
+            if sim.owners[owner_index].poll_restarts(target_index) == poll {
+                sim.request_listing(owner_index, target_index, LISTING_WAIT_MS, Some(poll));
+            }
         });
     }
 
+    /// Requests the next listing `pause_ms` after one that was requested in `poll`, unless that was not a
+    /// periodic request or polling has been restarted.
+    fn continue_polling(
+        &mut self,
+        owner_index: usize,
+        target_index: usize,
+        poll: Option<u32>,
+        pause_ms: u64,
+    ) {
+        if poll == Some(self.owners[owner_index].poll_restarts(target_index)) {
+            self.poll_target(owner_index, target_index, pause_ms);
+        }
+    }
+
     fn request_listing(
         &mut self,
         owner_index: usize,
         target_index: usize,
         wait_ms: u64,
-        repeat: bool,
+        poll: Option<u32>,
     ) {
         let now_ms = self.now_ms;
         let target_id = self.targets[target_index].info.id.clone();
@@ -247,7 +270,7 @@
             target_index,
             requested_at_ms: now_ms,
             wait_ms,
-            repeat,
+            poll,
             started_unix_ms: 0,
         };
         match delivery {
@@ -267,7 +290,7 @@
                                 owner_index,
                                 target_index,
                                 seen_restarts,
-                                repeat,
+                                poll,
                             );
                         });
                     }
@@ -287,7 +310,7 @@
 
     /// Fails a request for a listing that gets no answer, once its time limit is reached.
     fn time_out_listing_request(&mut self, call: ListingCall) {
-        let ListingCall { owner_index, target_index, requested_at_ms, wait_ms, repeat, .. } = call;
+        let ListingCall { owner_index, target_index, requested_at_ms, wait_ms, poll, .. } = call;
         let timeout_ms = wait_ms + REQUEST_TIMEOUT_MS;
         let left_ms = (requested_at_ms + timeout_ms).saturating_sub(self.now_ms);
         self.schedule_on_owner(owner_index, left_ms, move |sim| {
@@ -296,9 +319,7 @@
             let dispatcher = &mut sim.owners[owner_index].dispatcher;
             dispatcher.record_listing_failure(&target_id, took_ms, timeout_ms, now_ms);
             sim.execute_actions(owner_index);
-            if repeat {
-                sim.poll_target(owner_index, target_index, 25);
-            }
+            sim.continue_polling(owner_index, target_index, poll, 25);
         });
     }
 
@@ -307,20 +328,19 @@
         owner_index: usize,
         target_index: usize,
         seen_restarts: u64,
-        repeat: bool,
+        poll: Option<u32>,
     ) {
         let target_id = self.targets[target_index].info.id.clone();
         let target = self.owners[owner_index].dispatcher.target_mut(&target_id);
         match target.is_some_and(|target| target.seen_restarts() == seen_restarts) {
             true => self.supersede_owner(owner_index),
-            false if repeat => self.poll_target(owner_index, target_index, 25),
-            false => {}
+            false => self.continue_polling(owner_index, target_index, poll, 25),
         }
     }
 
     /// Answers a request for a listing once a run has ended, at the latest at `until_ms`.
     fn answer_listing_request(&mut self, call: ListingCall, until_ms: u64) {
-        let ListingCall { owner_index, target_index, requested_at_ms, repeat, .. } = call;
+        let ListingCall { owner_index, target_index, requested_at_ms, poll, .. } = call;
         let now_ms = self.now_ms;
         let target = &mut self.targets[target_index];
         if target.crashed_silently && target.simulated.started_unix_ms() != call.started_unix_ms {
@@ -349,8 +369,9 @@
         };
         self.schedule_on_owner(owner_index, INTRA_ZONE_LATENCY_MS + delay_ms, move |sim| {
             sim.apply_listing(owner_index, target_index, &listing, requested_at_ms);
-            if repeat && sim.owners[owner_index].is_alive {
-                sim.request_listing(owner_index, target_index, LISTING_WAIT_MS, true);
+            let is_current = poll == Some(sim.owners[owner_index].poll_restarts(target_index));
+            if is_current && sim.owners[owner_index].is_alive {
+                sim.request_listing(owner_index, target_index, LISTING_WAIT_MS, poll);
             }
         });
     }
