Answer "not run" before the deadline where no task can have started

Cause: when the caller's deadline passed, the answer was 504 whether or not a task could have started, so that the caller could not safely send the job again. An entry process took a job that it had just sent for unstarted.

Change: the owner refuses a queued job of which nothing was started or offloaded 50 ms before its caller's deadline, or as soon as half of its critical path no longer fits before it. It refuses one only while its entry process waits for the answer: a job that is sent again after it was removed counts as one whose tasks may have run. The entry process refuses a job for which no owner was found, or that every owner released unstarted, 50 ms before the deadline, if that comes before the 700 ms for which it waits for an owner. RoutedJob tells a job that awaits the reply of an owner from an unstarted one. Jobs with earlier or offloaded runs, and jobs whose owner does not answer, keep 504.

Result: unstarted_job_is_refused_before_the_deadline_of_its_caller, unstarted_job_that_cannot_end_before_the_deadline_of_its_caller_is_refused_at_once, queued_job_is_refused_only_while_its_entry_process_waits_for_the_answer and job_is_not_known_to_be_unstarted_while_an_owner_has_not_replied fail with the new conditions left out, and pass now, as do the other tests of ggb-placement. The part in callers.rs has no test of its own.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -33,6 +33,10 @@
 /// takes at most this long, unless no process of the zone can become the owner.
 const MAX_OWNER_WAIT_MS: u64 = 700;
 
+/// Time before its caller's deadline at which a job that no owner can have started is refused, so that
+/// the answer reaches the caller.
+const ANSWER_MARGIN_MS: u64 = 50;
+
 /// Time after the request to stop during which new jobs are still accepted. The load balancer
 /// stops sending new connections after two failed readiness checks, one second apart.
 const MAX_DRAIN_ACCEPT_MS: u64 = 3_000;
@@ -189,10 +193,12 @@
     received_at_ms: u64,
     deadline_ms: u64,
 ) -> RequestOutcome {
-    let answer = route_job(shared, submission, connection.as_ref(), received_at_ms);
+    let mut routed_job = RoutedJob::new(submission);
+    let answer = route_job(shared, &mut routed_job, connection.as_ref(), received_at_ms);
     let answer = timeout(Duration::from_millis(deadline_ms), answer);
     match ClientConnection::run_until_closed(connection.as_ref(), answer).await {
         Some(Ok(answer)) => RequestOutcome::Answered(answer),
+        Some(Err(_)) if routed_job.is_unstarted() => RequestOutcome::Answered(no_owner_answer()),
         Some(Err(_)) => RequestOutcome::DeadlinePassed,
         None => RequestOutcome::CallerDisconnected,
     }
@@ -219,11 +225,12 @@
 /// reached, until the job has an answer or the caller has disconnected.
 async fn route_job(
     shared: &Shared,
-    submission: Submission,
+    routed_job: &mut RoutedJob,
     connection: Option<&ClientConnection>,
     received_at_ms: u64,
 ) -> JobAnswer {
-    let mut routed_job = RoutedJob::new(submission);
+    let answer_by_ms = routed_job.submission().deadline_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let max_owner_wait_ms = MAX_OWNER_WAIT_MS.min(answer_by_ms);
     loop {
         // A process that was paused may not have been told yet. Its owner may have stopped the job,
         // and the caller sent it again, so that another submission would start it a second time.
@@ -258,8 +265,9 @@
                 })) => {
                     routed_job.mark_moved(done, earlier_runs, run_targets, token);
                 }
-                // This owner has not taken the job; what earlier owners reported still holds.
-                Ok(JobReply::Answered(JobAnswer::NotTaken)) => {}
+                Ok(JobReply::Answered(JobAnswer::NotTaken)) | Err(Sent::No) => {
+                    routed_job.mark_not_taken();
+                }
                 Ok(JobReply::Answered(answer)) => return answer,
                 Err(Sent::Maybe) => {
                     log_event!(
@@ -267,17 +275,20 @@
                     );
                     routed_job.mark_possibly_taken();
                 }
-                Err(Sent::No) => {}
             }
         }
-        if routed_job.is_unstarted() && waited_ms > MAX_OWNER_WAIT_MS {
-            let reason = RefusalReason::NoTargets;
-            return JobAnswer::Refused { reason, retry_after_ms: 1_000 };
+        if routed_job.is_unstarted() && waited_ms > max_owner_wait_ms {
+            return no_owner_answer();
         }
         task::sleep(Duration::from_millis(OWNER_RETRY_DELAY_MS)).await;
     }
 }
 
+/// Returns the answer to a job that no owner has taken or started.
+const fn no_owner_answer() -> JobAnswer {
+    JobAnswer::Refused { reason: RefusalReason::NoTargets, retry_after_ms: 1_000 }
+}
+
 /// Submits a job to the owner in this process and waits for the answer, while it tells the owner that
 /// the caller is connected.
 async fn wait_for_local_answer(
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -40,6 +40,10 @@
 /// estimates are off by up to 40%, and run times spread as much.
 const MIN_RUN_PERCENT: u64 = 50;
 
+/// Time before its caller's deadline at which a job that has not started is refused, so that the answer
+/// reaches the caller: a tick and an exchange between processes usually take 10 ms.
+const ANSWER_MARGIN_MS: u64 = 50;
+
 /// Time for which the answer of a finished job is cached for repeated submissions.
 const ANSWER_RETENTION_MS: u64 = 15_000;
 
@@ -52,6 +56,7 @@
         self.stop_overdue_runs(now_ms);
         self.close_abandoned(now_ms);
         self.refuse_queued_too_long(now_ms);
+        self.refuse_before_deadline(now_ms);
         self.give_up_unreachable_deadlines(now_ms);
         self.defer_late(now_ms);
         self.request_awaited_listings(now_ms);
@@ -182,15 +187,34 @@
     /// Refuses queued jobs of which no task was started or offloaded within the maximum queueing
     /// time.
     fn refuse_queued_too_long(&mut self, now_ms: u64) {
-        let is_queued_too_long = |job: &JobState| {
-            !job.has_started()
-                && !job.has_offloaded()
-                && now_ms >= job.queue_deadline_ms(MAX_QUEUE_TIME_PERCENT)
+        self.refuse_unstarted(now_ms, |job| {
+            now_ms >= job.queue_deadline_ms(MAX_QUEUE_TIME_PERCENT)
+        });
+    }
+
+    /// Refuses jobs of which no task was started or offloaded, and that cannot end before the caller's
+    /// deadline, even if they started now. From the deadline on, the caller could not be told any more
+    /// that the job has not run.
+    fn refuse_before_deadline(&mut self, now_ms: u64) {
+        self.refuse_unstarted(now_ms, |job| {
+            let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
+            let is_part = job.submission().part.is_some();
+            !is_part && now_ms + min_remaining_ms.max(ANSWER_MARGIN_MS) > job.caller_deadline_ms()
+        });
+    }
+
+    /// Refuses the queued jobs without started or offloaded tasks that `is_refused` selects.
+    ///
+    /// A job whose entry process is about to send it again would be gone by then, and could no longer be
+    /// told from one whose tasks have run.
+    fn refuse_unstarted(&mut self, now_ms: u64, is_refused: impl Fn(&JobState) -> bool) {
+        let is_unstarted = |job: &&JobState| {
+            !job.has_started() && !job.has_offloaded() && !job.requests().is_empty()
         };
         let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
-        let queued_too_long: Vec<JobId> =
-            queued_jobs.filter(|job| is_queued_too_long(job)).map(JobState::id).collect();
-        for id in queued_too_long {
+        let refused = queued_jobs.filter(is_unstarted).filter(|job| is_refused(job));
+        let refused: Vec<JobId> = refused.map(JobState::id).collect();
+        for id in refused {
             let retry_after_ms = self.retry_after_ms(id);
             self.refuse_job(id, RefusalReason::StillQueued, retry_after_ms, now_ms);
         }
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -12,12 +12,14 @@
 #[derive(Clone, Debug)]
 pub struct RoutedJob {
     submission: Submission,
+    /// Whether the job was sent to a dispatcher that has not replied.
+    awaits_reply: bool,
 }
 
 impl RoutedJob {
     /// Returns a job that has not been sent to any dispatcher.
     pub const fn new(submission: Submission) -> Self {
-        RoutedJob { submission }
+        RoutedJob { submission, awaits_reply: false }
     }
 
     /// Returns the submission in its current state.
@@ -25,7 +27,7 @@
         &self.submission
     }
 
-    /// Returns the submission to send `waited_ms` after it was received from the caller, who was last
+    /// Returns the submission to send now, `waited_ms` after it was received from the caller, who was last
     /// found connected `caller_check_age_ms` ago.
     pub const fn submission_after(
         &mut self,
@@ -34,11 +36,13 @@
     ) -> &Submission {
         self.submission.waited_ms = waited_ms;
         self.submission.caller_check_age_ms = caller_check_age_ms;
+        self.awaits_reply = true;
         &self.submission
     }
 
     /// Records that the owner with `claim` holds the job and has not finished it.
     pub const fn mark_held_by(&mut self, claim: ClaimId) {
+        self.awaits_reply = false;
         self.submission.holder = Some(claim);
     }
 
@@ -52,6 +56,7 @@
         run_targets: Option<Vec<Arc<str>>>,
         token: Option<u64>,
     ) {
+        self.awaits_reply = false;
         self.submission.holder = None;
         self.submission.excluded_tasks.extend(done);
         // An owner that started nothing reports nothing; what earlier owners reported still holds.
@@ -65,21 +70,32 @@
     /// Records that it is unknown whether the owner accepted the job, for example because the
     /// connection failed.
     pub fn mark_possibly_taken(&mut self) {
+        self.awaits_reply = false;
         self.submission.holder = None;
         self.submission.earlier_runs = EarlierRuns::StillHeld;
     }
 
+    /// Records that the owner has not taken the job. What earlier owners reported still holds.
+    pub const fn mark_not_taken(&mut self) {
+        self.awaits_reply = false;
+    }
+
     /// Returns the outcome of a part whose owner refuses connections: once an owner has reported that
     /// it holds the part, its tasks may run until their leases expire.
     pub fn outcome_of_refused_connection(&self) -> PartOutcome {
-        match self.is_unstarted() {
+        match self.has_no_earlier_runs() {
             true => PartOutcome::Refused,
             false => PartOutcome::Lost,
         }
     }
 
-    /// Returns whether it is certain that no task of the job has been started.
+    /// Returns whether it is certain that no task of the job has been started, and that none will be
+    /// unless the job is sent again.
     pub fn is_unstarted(&self) -> bool {
+        !self.awaits_reply && self.has_no_earlier_runs()
+    }
+
+    fn has_no_earlier_runs(&self) -> bool {
         self.submission.holder.is_none() && self.submission.earlier_runs == EarlierRuns::None
     }
 }
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -61,4 +61,57 @@
         let reason = RefusalReason::StillQueued;
         assert_eq!(harness.take_answers(), [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
     }
+
+    // Guards against a queued job whose caller is not told before its deadline that it has not run.
+    unstarted_job_is_refused_before_the_deadline_of_its_caller(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        let mut waiting = Submission { deadline_ms: 300, ..job(JOB, vec![step(1)]) };
+        waiting.queue.stretch = 20.0;
+        harness.submit(waiting);
+        harness.take_actions();
+        harness.advance(245);
+        assert_eq!(harness.take_answers(), []);
+        harness.advance(10);
+        let reason = RefusalReason::StillQueued;
+        let answers = harness.take_answers();
+        assert_eq!(answers, [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
+        harness.advance(50);
+        harness.apply_listing(0, &[], &[]);
+        assert_eq!(harness.take_starts(), []);
+    }
+
+    // Guards against a wait for the deadline by a job that can't end before it.
+    unstarted_job_that_cannot_end_before_the_deadline_of_its_caller_is_refused_at_once(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        let slow = StepSpec { estimate_ms: 400, ..step(1) };
+        let mut waiting = Submission { deadline_ms: 300, ..job(JOB, vec![slow]) };
+        waiting.queue.stretch = 20.0;
+        harness.submit(waiting);
+        harness.take_actions();
+        harness.advance(110);
+        let reason = RefusalReason::StillQueued;
+        let answers = harness.take_answers();
+        assert_eq!(answers, [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
+    }
+
+    // Guards against a job that its entry process sends again after the refusal, and that then counts as one whose tasks have run.
+    queued_job_is_refused_only_while_its_entry_process_waits_for_the_answer(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.advance(5);
+        harness.take_actions();
+        let request = harness.submit(job(JOB, vec![step(1)]));
+        harness.advance(70);
+        harness.dispatcher.remove_request(request, harness.now_ms);
+        harness.advance(20);
+        let now_ms = harness.now_ms;
+        let again = Submission { waited_ms: 90, holder: Some(ClaimId(0)), ..job(JOB, vec![step(1)]) };
+        harness.dispatcher.submit(again, RequestId(9), now_ms);
+        harness.advance(5);
+        let reason = RefusalReason::StillQueued;
+        let answers = harness.take_answers();
+        assert_eq!(answers, [JobAnswer::Refused { reason, retry_after_ms: 1_000 }]);
+        harness.advance(200);
+        harness.apply_listing(0, &[], &[]);
+        assert_eq!(harness.take_starts(), []);
+    }
 }
--- a/crates/placement/tests/routed_job.rs
+++ b/crates/placement/tests/routed_job.rs
@@ -59,8 +59,8 @@
 
 cases! {
     first_owner_is_told_of_no_earlier_runs(routed_job) {
-        assert_eq!(earlier_runs_for(&mut routed_job, 1), EarlierRuns::None);
         assert!(routed_job.is_unstarted());
+        assert_eq!(earlier_runs_for(&mut routed_job, 1), EarlierRuns::None);
     }
 
     holder_is_told_of_no_earlier_runs(routed_job) {
@@ -123,6 +123,17 @@
         assert_eq!(routed_job.outcome_of_refused_connection(), PartOutcome::Lost);
     }
 
+    // Guards against a refusal of a job that an owner may start, since it has not replied yet.
+    job_is_not_known_to_be_unstarted_while_an_owner_has_not_replied(routed_job) {
+        routed_job.submission_after(5, 0);
+        assert!(!routed_job.is_unstarted());
+        routed_job.mark_not_taken();
+        assert!(routed_job.is_unstarted());
+        routed_job.submission_after(25, 0);
+        routed_job.mark_moved(vec![], EarlierRuns::None, Some(vec![]), Some(TOKEN));
+        assert!(routed_job.is_unstarted());
+    }
+
     possibly_taken_job_remains_still_held(routed_job) {
         routed_job.mark_possibly_taken();
         routed_job.mark_moved(vec![], EarlierRuns::None, None, None);
