Evacuate availability zones at the operators' request

Cause: operators could not take an availability zone out of service. Rows `evacuate/ZONE` in the table `op` were ignored, and the owner of the zone went on starting tasks there.

Change: each process follows these rows with its poll of the configuration and passes them on by heartbeats, under the store version of the last change, so that older states never replace newer ones. The dispatcher checks the own zone, and how old its knowledge of the requests is, on the one path that every start passes. An evacuated zone refuses parts and jobs that have not started, returns parts that can't be retried, and offers other waiting tasks to zones in service. Entry processes send new jobs of the zone to the owners of other zones. Runs in the zone are adopted, renewed and acknowledged as before. Heartbeats are unchanged until there is a request.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,7 +9,7 @@
 //! [`Ownership`] elects the VM that controls the targets of an availability zone. Its claim carries a
 //! fencing token that no other VM derives. [`Members`] are the processes that it exchanges heartbeats
 //! with, and [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
-//! without coordination.
+//! without coordination. [`Evacuation`] holds the zones that operators have asked to evacuate.
 //!
 //! # Example
 //!
@@ -32,6 +32,7 @@
 //! assert_eq!(view.active(Role::Target).count(), 0);
 //! ```
 
+mod evacuation;
 mod gossip;
 mod members;
 mod ownership;
@@ -43,6 +44,7 @@
 mod view;
 
 pub use crate::{
+    evacuation::{Evacuation, EvacuationReport, EvacuationRow},
     gossip::VersionGossip,
     members::{Member, Members},
     ownership::{
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -1,10 +1,6 @@
 //! Serves the requests of callers and routes their jobs to the owner of the zone.
 
-use std::{
-    net::{IpAddr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
 use error_stack::Report;
@@ -24,6 +20,7 @@
     owner::Owner,
     peer_api::{JobReply, MAX_REPLY_DELAY_MS, send_job},
     shared::Shared,
+    zone_route::{NextOwner, OwnerLocation, ZoneRoute},
 };
 
 /// Delay before a job that no owner has taken is sent to the current owner again.
@@ -166,7 +163,10 @@
             RequestOutcome::Answered(JobAnswer::Refused { .. }) => "refused",
             RequestOutcome::Answered(JobAnswer::GivenUp) => "given up",
             RequestOutcome::Answered(
-                JobAnswer::Moved { .. } | JobAnswer::NotTaken | JobAnswer::Unknown,
+                JobAnswer::Moved { .. }
+                | JobAnswer::Returned { .. }
+                | JobAnswer::NotTaken
+                | JobAnswer::Unknown,
             ) => "unknown",
             RequestOutcome::DeadlinePassed => "deadline passed",
             RequestOutcome::CallerDisconnected => "caller left",
@@ -198,23 +198,6 @@
     }
 }
 
-/// Location of the owner of the zone's targets.
-enum OwnerLocation {
-    /// In this process.
-    Local(Arc<Owner>),
-    /// In the process on another VM.
-    Remote,
-}
-
-/// Returns the address of the VM that owns the zone's targets, and how to reach the owner.
-fn find_owner(shared: &Shared) -> Option<(IpAddr, OwnerLocation)> {
-    if let Some(owner) = shared.owner.load_full() {
-        return Some((shared.settings.ip, OwnerLocation::Local(owner)));
-    }
-    let ip = shared.ownership.lock().zone_owner_ip(shared.now_ms())?;
-    Some((ip, OwnerLocation::Remote))
-}
-
 /// Sends a job to the owner of the zone, and to the next owner if that one stops or can't be
 /// reached, until the job has an answer or the caller has disconnected.
 async fn route_job(
@@ -224,6 +207,9 @@
     received_at_ms: u64,
 ) -> JobAnswer {
     let mut routed_job = RoutedJob::new(submission);
+    let mut zone_route = ZoneRoute::new(shared);
+    let mut refusal =
+        JobAnswer::Refused { reason: RefusalReason::Evacuated, retry_after_ms: 1_000 };
     loop {
         // A process that was paused may not have been told yet. Its owner may have stopped the job,
         // and the caller sent it again, so that another submission would start it a second time.
@@ -234,7 +220,11 @@
         }
         let now_ms = shared.now_ms();
         let waited_ms = now_ms - received_at_ms;
-        if let Some((ip, location)) = find_owner(shared) {
+        let next_owner = zone_route.next_owner(shared, &mut routed_job);
+        if matches!(next_owner, NextOwner::NoZone) {
+            return refusal;
+        }
+        if let NextOwner::At(ip, location) = next_owner {
             let submission = routed_job.submission_after(waited_ms, now_ms - checked_at_ms);
             let reply = match location {
                 OwnerLocation::Local(owner) => {
@@ -260,6 +250,15 @@
                 }
                 // This owner has not taken the job; what earlier owners reported still holds.
                 Ok(JobReply::Answered(JobAnswer::NotTaken)) => {}
+                // Another zone may take the job, of which this one has started nothing.
+                Ok(JobReply::Answered(
+                    answer @ JobAnswer::Refused { reason: RefusalReason::Evacuated, .. },
+                )) => {
+                    zone_route.record_evacuated();
+                    routed_job.mark_refused();
+                    refusal = answer;
+                    continue;
+                }
                 Ok(JobReply::Answered(answer)) => return answer,
                 Err(Sent::Maybe) => {
                     log_event!(
@@ -267,7 +266,7 @@
                     );
                     routed_job.mark_possibly_taken();
                 }
-                Err(Sent::No) => {}
+                Err(Sent::No) => zone_route.record_unreachable(),
             }
         }
         if routed_job.is_unstarted() && waited_ms > MAX_OWNER_WAIT_MS {
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -1,4 +1,5 @@
-//! Reads the operators' configuration from the platform's store and from peers.
+//! Reads the operators' configuration from the platform's store and from peers, and their requests to
+//! evacuate zones from the same table.
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
@@ -31,20 +32,28 @@
     loop {
         let deadline_ms = shared.live_settings().configuration_deadline_ms;
         // While reads fail changes may be missed, so the next read does not wait for another one.
+        let poll_ms =
+            (deadline_ms / LONG_POLL_DEADLINE_DIVISOR).min(shared.max_evacuation_poll_ms());
         let wait_ms = match is_behind {
             true => 0,
-            false => (deadline_ms / LONG_POLL_DEADLINE_DIVISOR).max(MIN_LONG_POLL_MS),
+            false => poll_ms.max(MIN_LONG_POLL_MS),
         };
+        let requested_at_ms = shared.now_ms();
         let last_read_at_ms = shared.configuration_read.at_ms();
         let read = WatchedTable::Configuration.changes_since(&shared, version, wait_ms).await;
         is_behind = read.is_err();
         match read {
             Ok(Some(update)) => {
+                shared.apply_evacuation_rows(&update, version.is_none());
+                shared.record_evacuation_read(requested_at_ms, true);
                 apply_rows(&shared, &update, last_read_at_ms);
                 version = Some(update.version);
             }
             Ok(None) => version = None,
-            Err(_) => task::sleep(Duration::from_millis(RETRY_DELAY_MS)).await,
+            Err(_) => {
+                shared.record_evacuation_read(requested_at_ms, false);
+                task::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+            }
         }
     }
 }
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -18,6 +18,15 @@
     peer_api::{JobReply, send_job},
 };
 
+/// End of a part.
+enum PartEnd {
+    Settled(PartOutcome),
+    /// The zone is evacuated; the other tasks of the part have no active run.
+    Returned {
+        done: Vec<(u16, u16)>,
+    },
+}
+
 /// Runs a part of a job on the targets of another zone and passes the outcome to `owner`.
 ///
 /// Dropping the sender of `cancelled` cancels the part. After a cancellation or a lost contact, the
@@ -33,7 +42,10 @@
         let send = send_part(&owner, &zone, &submission);
         pin_mut!(send);
         match select(send, cancelled).await {
-            Either::Left((outcome, _)) => outcome,
+            Either::Left((PartEnd::Returned { done }, _)) => {
+                return owner.apply_returned_part(part, &done);
+            }
+            Either::Left((PartEnd::Settled(outcome), _)) => outcome,
             Either::Right(_) => PartOutcome::Lost,
         }
     };
@@ -44,14 +56,16 @@
 }
 
 /// Sends a part to the owner of `zone` until that owner answers or contact is lost.
-async fn send_part(owner: &Owner, zone: &Zone, submission: &Submission) -> PartOutcome {
+async fn send_part(owner: &Owner, zone: &Zone, submission: &Submission) -> PartEnd {
     let shared = owner.shared();
     let received_at_ms = shared.now_ms().saturating_sub(submission.waited_ms);
     let remote_owner = {
         let ownership = shared.ownership.lock();
         ownership.owner_of(zone).map(|owner| owner.heartbeat.node.ip)
     };
-    let Some(remote_owner) = remote_owner else { return PartOutcome::Refused };
+    let Some(remote_owner) = remote_owner else {
+        return PartEnd::Settled(PartOutcome::Refused);
+    };
     let addr = shared.peer_addr(remote_owner);
     let mut routed_job = RoutedJob::new(submission.clone());
     loop {
@@ -60,12 +74,18 @@
         let checked_at_ms = owner.caller_checked_at_ms(submission.job.id).unwrap_or(0);
         let submission = routed_job
             .submission_after(now_ms - received_at_ms, now_ms.saturating_sub(checked_at_ms));
-        match send_job(shared, addr, submission, now_ms).await {
-            Ok(JobReply::Pending { claim }) => routed_job.mark_held_by(claim),
-            Ok(JobReply::Answered(JobAnswer::Completed)) => return PartOutcome::Completed,
-            Ok(JobReply::Answered(JobAnswer::Failed)) => return PartOutcome::Failed,
-            Ok(JobReply::Answered(JobAnswer::Refused { .. })) => return PartOutcome::Refused,
-            Err(Sent::No) => return routed_job.outcome_of_refused_connection(),
+        let outcome = match send_job(shared, addr, submission, now_ms).await {
+            Ok(JobReply::Pending { claim }) => {
+                routed_job.mark_held_by(claim);
+                continue;
+            }
+            Ok(JobReply::Answered(JobAnswer::Returned { done })) => {
+                return PartEnd::Returned { done };
+            }
+            Ok(JobReply::Answered(JobAnswer::Completed)) => PartOutcome::Completed,
+            Ok(JobReply::Answered(JobAnswer::Failed)) => PartOutcome::Failed,
+            Ok(JobReply::Answered(JobAnswer::Refused { .. })) => PartOutcome::Refused,
+            Err(Sent::No) => routed_job.outcome_of_refused_connection(),
             Ok(JobReply::Answered(
                 JobAnswer::GivenUp
                 | JobAnswer::Moved { .. }
@@ -74,8 +94,9 @@
             ))
             | Err(Sent::Maybe) => {
                 log_event!(warn, RequestResumed, job = %submission.job.id, zone = %zone);
-                return PartOutcome::Lost;
+                PartOutcome::Lost
             }
-        }
+        };
+        return PartEnd::Settled(outcome);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod configuration;
 mod directory;
+mod evacuation;
 mod lending;
 mod metrics;
 mod open_requests;
@@ -27,6 +28,7 @@
 mod settings_file;
 mod shared;
 mod watched_table;
+mod zone_route;
 
 pub use crate::{
     metrics::NodeMetrics,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -58,6 +58,11 @@
     pub is_owner: IntGauge,
     /// Version of the active configuration.
     pub configuration_version: IntGauge,
+    /// Whether a zone is evacuated, by zone; empty if there never was a request.
+    pub evacuated_zones: IntGaugeVec,
+    /// Number of runs on the targets of the zone of this process, by zone; empty unless this process is
+    /// the owner, the zone is evacuated and all targets have sent a listing.
+    pub evacuated_zone_runs: IntGaugeVec,
     /// Time since the last successful read of the store, by table.
     pub table_age_ms: IntGaugeVec,
 }
@@ -128,6 +133,12 @@
             is_owner: gauge("ggb_is_owner", "Whether this process dispatches for its zone"),
             configuration_version: gauge("ggb_configuration_version", "Version in force"),
             table_age_ms: gauges("ggb_age_ms", "Time since the store confirmed a table", "table"),
+            evacuated_zones: gauges("ggb_evacuated", "Whether a zone is evacuated", "zone"),
+            evacuated_zone_runs: gauges(
+                "ggb_evacuated_runs",
+                "Runs in the evacuated zone of the owner",
+                "zone",
+            ),
             registry,
         }
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -125,6 +125,7 @@
             state: Mutex::new(state),
             stopped: AtomicBool::new(false),
         });
+        owner.shared.tell_of_evacuation(&owner);
         for target in targets {
             owner.update_target(&target);
         }
@@ -228,6 +229,31 @@
         });
     }
 
+    /// Sets whether the zone is evacuated and which other zones are, and the time until which this is
+    /// recent enough for tasks to start.
+    pub(crate) fn set_evacuated_zones(
+        self: &Arc<Self>,
+        own: bool,
+        remote: &[Zone],
+        known_until_ms: u64,
+    ) {
+        self.update(|dispatcher, now_ms| {
+            dispatcher.set_evacuation_known_until(known_until_ms);
+            dispatcher.set_evacuated_zones(own, remote, now_ms);
+        });
+    }
+
+    /// Returns the number of runs on the zone's targets, or `None` while it is not known.
+    pub(crate) fn known_runs(&self) -> Option<usize> {
+        self.state.lock().dispatcher.known_runs()
+    }
+
+    /// Passes the answer to an offloaded part that an evacuated zone returned to the dispatcher.
+    pub(crate) fn apply_returned_part(self: &Arc<Self>, part: u64, done: &[(u16, u16)]) {
+        self.state.lock().part_cancel_senders.retain(|(offloaded, _)| *offloaded != part);
+        self.update(|dispatcher, now_ms| dispatcher.apply_returned_part(part, done, now_ms));
+    }
+
     /// Passes the outcome of an offloaded part to the dispatcher.
     pub(crate) fn apply_part_outcome(self: &Arc<Self>, part: u64, outcome: PartOutcome) {
         self.state.lock().part_cancel_senders.retain(|(offloaded, _)| *offloaded != part);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,8 +12,8 @@
 use ggb_adapter::Row;
 use ggb_control::unix_time_ms;
 use ggb_membership::{
-    HEARTBEAT_INTERVAL_MS, Heartbeat, MAX_HEARTBEAT_BYTES, Node, Ownership, OwnershipChange,
-    Recipient, Recipients,
+    EvacuationReport, HEARTBEAT_INTERVAL_MS, Heartbeat, MAX_HEARTBEAT_BYTES, Node, Ownership,
+    OwnershipChange, Recipient, Recipients,
 };
 use ggb_placement::{Load, TargetLoss};
 use ggb_telemetry::log_event;
@@ -50,12 +50,15 @@
 /// Timeout of a request to a peer for its losses of targets.
 const LOSS_FETCH_TIMEOUT_MS: u64 = 500;
 
-/// A heartbeat with recent losses of the targets that its sender owns.
+/// A heartbeat with recent losses of the targets that its sender owns, and the evacuated zones that it
+/// knows of.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct HeartbeatMessage {
     #[serde(flatten)]
     heartbeat: Heartbeat,
+    #[serde(flatten)]
+    evacuation: EvacuationReport,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     target_losses: Vec<TargetLoss>,
 }
@@ -135,7 +138,8 @@
                     log_event!(warn, PeerMessageInvalid, peer = %from, name, zone = %zone, error);
                 }
             }
-            Ok(HeartbeatMessage { heartbeat, target_losses }) => {
+            Ok(HeartbeatMessage { heartbeat, evacuation, target_losses }) => {
+                shared.merge_evacuation(&evacuation, heartbeat.configuration_version);
                 if !target_losses.is_empty() {
                     shared.merge_target_losses(&target_losses);
                 }
@@ -273,6 +277,8 @@
             );
             let owner = Owner::spawn(Arc::clone(shared), token);
             shared.owner.store(Some(owner));
+            // A request may have arrived since the owner was told at its start.
+            shared.tell_owner_of_evacuation();
         }
         Some(OwnershipChange::Released { token, rival }) => {
             let reason = match rival.token == token {
@@ -359,7 +365,8 @@
     let target_losses =
         owner.map(|owner| owner.recent_target_losses(MAX_HEARTBEAT_LOSSES, round, losses_since_ms));
     let target_losses = target_losses.unwrap_or_default();
-    let mut message = HeartbeatMessage { heartbeat, target_losses };
+    let evacuation = shared.evacuation_report();
+    let mut message = HeartbeatMessage { heartbeat, evacuation, target_losses };
     let encoded = message.encode();
     for recipient in recipients {
         let addr = shared.peer_addr(recipient.ip);
@@ -377,6 +384,7 @@
 fn update_gauges(shared: &Shared, load: Load) {
     shared.metrics.is_owner.set(i64::from(shared.owner.load().is_some()));
     shared.metrics.jobs.set(load.jobs as i64);
+    shared.update_evacuation_gauges();
     let now_ms = shared.now_ms();
     for (table, age_ms) in [
         ("configuration", shared.configuration_read.age_ms(now_ms)),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -18,7 +18,7 @@
 use ggb_telemetry::log_job_event;
 use parking_lot::Mutex;
 
-use crate::{NodeMetrics, open_requests::OpenRequests, owner::Owner};
+use crate::{NodeMetrics, evacuation::EvacuationState, open_requests::OpenRequests, owner::Owner};
 
 /// Time of the last successful read of one table of the store.
 #[derive(Debug)]
@@ -58,6 +58,8 @@
     pub(crate) http: Arc<HttpClient>,
     pub(crate) configuration: ArcSwapOption<Configuration>,
     pub(crate) configuration_gossip: Mutex<VersionGossip>,
+    /// The zones that operators have asked to evacuate.
+    pub(crate) evacuation: Mutex<EvacuationState>,
     /// The owner of the zone's targets, if it is this process.
     pub(crate) owner: ArcSwapOption<Owner>,
     pub(crate) ownership: Mutex<Ownership>,
@@ -95,6 +97,7 @@
             settings,
             configuration_read: LastReadTime::new(clock.now_ms()),
             targets_read: LastReadTime::new(clock.now_ms()),
+            evacuation: Mutex::new(EvacuationState::new(clock.now_ms())),
             clock,
             http,
             configuration: ArcSwapOption::empty(),
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -3,10 +3,12 @@
 mod action;
 mod admission;
 mod due;
+mod evacuation;
 mod held;
 mod job_state;
 mod lending;
 mod listings;
+mod load;
 mod losses;
 mod place;
 mod renewal;
@@ -20,6 +22,7 @@
     Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
     TargetInfo, TargetLosses, TargetRun,
     dispatcher::{
+        evacuation::EvacuatedZones,
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
     },
@@ -91,6 +94,7 @@
     /// Number of runs that ended without a listed end since [`Dispatcher::take_lost_runs`].
     lost_runs: u64,
     target_losses: TargetLosses,
+    evacuated_zones: EvacuatedZones,
 }
 
 /// Queue position of a job; the order of the fields is the scheduling order.
@@ -131,6 +135,7 @@
             next_part: claim.id.0,
             lost_runs: 0,
             target_losses: TargetLosses::new(),
+            evacuated_zones: EvacuatedZones::new(),
         }
     }
 
@@ -166,23 +171,6 @@
         &self.run_times
     }
 
-    /// Returns the current load of the targets.
-    pub fn load(&self) -> Load {
-        let mut load =
-            Load { jobs: self.jobs.len(), targets: self.targets.len(), ..Load::default() };
-        for target in self.targets.iter().filter(|target| target.is_healthy()) {
-            load.healthy_targets += 1;
-            load.total_cpu_milli += target.info().capacity.cpu_milli;
-            load.free_cpu_milli += target.free().cpu_milli;
-            load.free_tasks += target.free().cpu_milli / self.average_cpu_milli.max(1);
-        }
-        for job in self.queue.iter().filter_map(|entry| self.job(entry.job)) {
-            load.queued_tasks += job.waiting_tasks() as u64;
-            load.queued_cpu_milli += job.waiting_cpu_milli();
-        }
-        load
-    }
-
     /// Returns the number of queued jobs per priority, most urgent first.
     pub fn queued_jobs(&self) -> Vec<(u8, usize)> {
         let mut queued: Vec<(u8, usize)> = Vec::new();
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -11,7 +11,6 @@
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
-        place::may_start_on,
     },
 };
 
@@ -29,7 +28,7 @@
 
 /// Minimum `retry_after_ms` of a refusal after which a retry may succeed; also used if the queueing
 /// time is unknown.
-const MIN_RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const MIN_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Expected queueing time of the first and the last task of a job.
 #[derive(Clone, Copy, Debug)]
@@ -159,6 +158,9 @@
         if job.has_started() {
             return Ok(0);
         }
+        if self.evacuated_zones.is_own_evacuated() {
+            return self.check_evacuated_admission(job, now_ms);
+        }
         let is_part = job.submission().part.is_some();
         let service = &job.submission().queue.service;
         let runs_service =
@@ -208,7 +210,7 @@
     ///
     /// Queued jobs are not considered, since capacity that is free now does not fit their tasks.
     fn has_capacity_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
-        let usable = targets.iter().filter(|target| may_start_on(target, job, now_ms));
+        let usable = targets.iter().filter(|target| self.may_start_on(target, job, now_ms));
         let mut free: Vec<(&Target, Capacity)> =
             usable.map(|target| (*target, target.free())).collect();
         let mut unplaced = 0;
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -56,6 +56,7 @@
         self.defer_late(now_ms);
         self.request_awaited_listings(now_ms);
         self.place_tasks(now_ms);
+        self.hand_back_evacuated(now_ms);
         for target in &mut self.targets {
             target.prune_recent_ends(now_ms);
         }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -450,6 +450,19 @@
         }
     }
 
+    /// Marks the tasks of a part that are among `done` as done.
+    pub(super) fn finish_part_tasks(&mut self, part: u64, done: &[(u16, u16)]) {
+        for task in &mut self.tasks {
+            let is_done = done.contains(&(task.id.step, task.id.index));
+            match task.state {
+                TaskState::Offloaded { part: offloaded } if offloaded == part && is_done => {
+                    task.state = TaskState::Done;
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Records that tasks of the job may have run.
     pub(super) const fn set_started(&mut self) {
         self.has_started = true;
--- a/crates/placement/src/dispatcher/lending.rs
+++ b/crates/placement/src/dispatcher/lending.rs
@@ -56,6 +56,7 @@
     /// Records the number of tasks of average demand that another zone has capacity for.
     pub fn update_remote_capacity(&mut self, zone: &Zone, free_tasks: u64, now_ms: u64) {
         self.advance_time(now_ms);
+        let free_tasks = if self.evacuated_zones.may_offload_to(zone) { free_tasks } else { 0 };
         match self.remote_zones.binary_search_by(|remote| remote.zone.cmp(zone)) {
             Ok(index) => {
                 self.remote_zones[index].free_tasks = free_tasks;
@@ -102,15 +103,23 @@
             || zone_targets.any(|target| !target.draining && target.can_run(service, step))
     }
 
+    /// Returns whether waiting tasks of a job whose earlier runs are known may be offloaded.
+    ///
+    /// A job that may have runs in any zone stays with this one, unless the zone is evacuated: once all
+    /// of these runs must have ended, its tasks start there as safely as here.
+    pub(super) fn may_offload(&self, job: &JobState) -> bool {
+        let submission = job.submission();
+        job.phase() == JobPhase::Open
+            && submission.part.is_none()
+            && (submission.earlier_runs < EarlierRuns::AnyZone
+                || self.evacuated_zones.is_own_evacuated())
+    }
+
     /// Offers waiting tasks of a job to the zone with the most free capacity among those that can
     /// run them.
     pub(super) fn offload_tasks(&mut self, id: JobId, now_ms: u64) {
         let Some(job) = self.job(id) else { return };
-        let submission = job.submission();
-        let may_offload = job.phase() == JobPhase::Open
-            && submission.part.is_none()
-            && submission.earlier_runs < EarlierRuns::AnyZone;
-        if !may_offload {
+        if !self.may_offload(job) {
             return;
         }
         let mut tasks = job.startable_tasks();
@@ -193,6 +202,15 @@
 }
 
 impl RemoteZone {
+    pub(super) const fn zone(&self) -> &Zone {
+        &self.zone
+    }
+
+    /// Discards the reported capacity.
+    pub(super) const fn set_full(&mut self) {
+        self.free_tasks = 0;
+    }
+
     const fn is_current(&self, now_ms: u64) -> bool {
         now_ms < self.reported_at_ms + REMOTE_CAPACITY_VALIDITY_MS
             && now_ms >= self.refused_until_ms
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -47,7 +47,8 @@
 
     /// Returns the component-wise maximum of the free capacity of usable targets.
     pub(super) fn largest_free(&self, now_ms: u64) -> Capacity {
-        let usable = self.targets.iter().filter(|target| target.is_usable(now_ms));
+        let may_start = self.evacuated_zones.may_start(now_ms);
+        let usable = self.targets.iter().filter(|target| may_start && target.is_usable(now_ms));
         usable.map(Target::free).fold(Capacity::default(), |max, free| Capacity {
             cpu_milli: max.cpu_milli.max(free.cpu_milli),
             memory_mb: max.memory_mb.max(free.memory_mb),
@@ -141,7 +142,7 @@
     ) -> Option<usize> {
         let step = job.step(task);
         let fits = |target: &Target| {
-            may_start_on(target, job, now_ms)
+            self.may_start_on(target, job, now_ms)
                 && self.may_share_target(task, target)
                 && target.free().fits(&step.demand)
                 && target.has_label(step.required_label.as_deref())
@@ -156,6 +157,18 @@
         candidates.min_by_key(|(_, target)| cost(target)).map(|(target_index, _)| target_index)
     }
 
+    /// Returns whether tasks of a job may start on a target now, as far as its free capacity allows.
+    ///
+    /// A target that does not enforce its capacity relies on its owner to know what runs on it.
+    pub(super) fn may_start_on(&self, target: &Target, job: &JobState, now_ms: u64) -> bool {
+        let queue = &job.submission().queue;
+        self.evacuated_zones.may_start(now_ms)
+            && target.info().service == queue.service
+            && target.is_usable(now_ms)
+            && (queue.targets_enforce_capacity || target.is_free_capacity_known())
+            && target.lease_ends_before_return(job.caller_checked_at_ms(), now_ms)
+    }
+
     fn start_task(&mut self, id: JobId, task_index: usize, target_index: usize, now_ms: u64) {
         let Ok(job_index) = self.jobs.binary_search_by_key(&id, JobState::id) else { return };
         let job = &mut self.jobs[job_index];
@@ -184,17 +197,6 @@
     }
 }
 
-/// Returns whether tasks of a job may start on a target now, as far as its free capacity allows.
-///
-/// A target that does not enforce its capacity relies on its owner to know what runs on it.
-pub(super) fn may_start_on(target: &Target, job: &JobState, now_ms: u64) -> bool {
-    let queue = &job.submission().queue;
-    target.info().service == queue.service
-        && target.is_usable(now_ms)
-        && (queue.targets_enforce_capacity || target.is_free_capacity_known())
-        && target.lease_ends_before_return(job.caller_checked_at_ms(), now_ms)
-}
-
 fn is_below_per_target_limit(target: &Target, step: &StepSpec, task: TaskId) -> bool {
     let Some(max) = step.max_per_target else { return true };
     let same_step = |run: &Run| run.task.job == task.job && run.task.step == task.step;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -395,6 +395,9 @@
     StillQueued,
     /// The process is shutting down; no dispatcher gives this reason.
     Stopping,
+    /// The zone is evacuated and no other zone has capacity for the job; another zone's dispatcher
+    /// may take it.
+    Evacuated,
 }
 
 /// Result of a submission.
@@ -427,6 +430,12 @@
         #[serde(default)]
         token: Option<u64>,
     },
+    /// The zone of a part's targets is evacuated: no run of the part is active, and no other one will
+    /// be started.
+    Returned {
+        /// Step and index of each completed task, and of each task outside the part.
+        done: Vec<(u16, u16)>,
+    },
     /// The process does not own the targets and did not accept the job.
     NotTaken,
     /// Contact with the dispatcher that held the job was lost; its tasks may have run.
--- a/crates/placement/src/routed_job.rs
+++ b/crates/placement/src/routed_job.rs
@@ -69,6 +69,25 @@
         self.submission.earlier_runs = EarlierRuns::StillHeld;
     }
 
+    /// Records that the owner refused the job: it has started no task, and will start none.
+    pub const fn mark_refused(&mut self) {
+        self.submission.holder = None;
+    }
+
+    /// Records that the next submission goes to the owner of another zone, whose targets' listings show
+    /// no run of an earlier owner.
+    pub fn mark_left_zone(&mut self) {
+        self.submission.run_targets = None;
+        self.submission.released_under = None;
+        match self.submission.earlier_runs {
+            _ if self.submission.holder.is_some() => self.mark_possibly_taken(),
+            EarlierRuns::None => {}
+            earlier_runs => {
+                self.submission.earlier_runs = earlier_runs.max(EarlierRuns::AnyZone);
+            }
+        }
+    }
+
     /// Returns the outcome of a part whose owner refuses connections: once an owner has reported that
     /// it holds the part, its tasks may run until their leases expire.
     pub fn outcome_of_refused_connection(&self) -> PartOutcome {
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -484,12 +484,22 @@
     }
 
     pub(super) fn apply_part_answer(&mut self, owner_index: usize, part: u64, answer: JobAnswer) {
+        if let JobAnswer::Returned { done } = answer {
+            self.schedule_on_owner(owner_index, INTER_ZONE_LATENCY_MS, move |sim| {
+                sim.owners[owner_index].offloaded.retain(|offloaded| offloaded.part != part);
+                let now_ms = sim.now_ms;
+                sim.owners[owner_index].dispatcher.apply_returned_part(part, &done, now_ms);
+                sim.execute_actions(owner_index);
+            });
+            return;
+        }
         let (outcome, delay_ms) = match answer {
             JobAnswer::Completed => (PartOutcome::Completed, INTER_ZONE_LATENCY_MS),
             JobAnswer::Failed => (PartOutcome::Failed, INTER_ZONE_LATENCY_MS),
             JobAnswer::Refused { .. } => (PartOutcome::Refused, INTER_ZONE_LATENCY_MS),
             JobAnswer::GivenUp
             | JobAnswer::Moved { .. }
+            | JobAnswer::Returned { .. }
             | JobAnswer::NotTaken
             | JobAnswer::Unknown => (PartOutcome::Lost, INTER_ZONE_LATENCY_MS + CALLER_EXPIRY_MS),
         };
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod disruptions;
+pub mod evacuation;
 mod links;
 mod schedule;
 pub mod shapes;
@@ -17,6 +18,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use evacuation::Evacuations;
 pub use links::Faults;
 use links::ListingCall;
 use schedule::ScheduledEvent;
@@ -158,6 +160,7 @@
     partitioned_zone: Option<usize>,
     /// Zone of which every other target is unreachable for owners from an index on, and that index.
     cut_off_targets: Option<(usize, usize)>,
+    evacuations: Evacuations,
 }
 
 /// Returns the seeds to run: all, or only the one in `GGB_SEED`, which is then logged.
@@ -193,6 +196,7 @@
             targets: Vec::new(),
             partitioned_zone: None,
             cut_off_targets: None,
+            evacuations: Evacuations::default(),
         };
         for zone in 0..zones {
             for number in 0..targets {
@@ -275,6 +279,7 @@
             frozen_until_ms: 0,
             lag_ms,
         });
+        self.read_evacuations_at_start(owner_index);
         for target_index in targets {
             self.poll_target(owner_index, target_index, 0);
         }
@@ -558,6 +563,7 @@
     /// Submits a job to the owner of a zone, once there is one.
     fn send_to_owner(&mut self, caller_index: usize, zone: usize) {
         let connection = self.callers[caller_index].connection;
+        let zone = self.serving_zone(caller_index, zone);
         let Some(owner_index) = self.owner_for(caller_index, zone) else {
             self.schedule_after(20, move |sim| {
                 if sim.callers[caller_index].is_waiting_on(connection) {
@@ -623,6 +629,8 @@
                 self.callers[caller_index].was_interrupted = true;
                 self.resend(caller_index, zone);
             }
+            (Waiter::Caller(caller_index), answer) if self.reroute(caller_index, zone, &answer) => {
+            }
             (Waiter::Caller(caller_index), answer) => {
                 let now_ms = self.now_ms;
                 let state = &mut self.callers[caller_index];
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,7 +54,7 @@
     TableUnreachable = 201,
     /// The platform's configuration table can be read again.
     TableReachable = 202,
-    /// The stored configuration can't be decoded; the current configuration stays active.
+    /// The stored configuration or a request to evacuate a zone is invalid and ignored.
     ConfigurationUnreadable = 203,
     /// The platform's list of VMs can't be read; the known VMs stay in use.
     VmListUnreachable = 204,
@@ -161,6 +161,12 @@
     PeersLearned = 667,
     /// Peers report an owner of this availability zone that this process does not hear; while they do, it makes no claim.
     OwnerReported = 668,
+    /// An operator asked to evacuate an availability zone; no task starts there from now on.
+    ZoneEvacuated = 670,
+    /// No task runs in the evacuated zone of this owner any more; the fields contain how long that took.
+    ZoneEmpty = 671,
+    /// The evacuation of an availability zone has ended; new tasks may start there.
+    ZoneReturned = 672,
     /// The platform's store can't be read; the known configuration and targets stay in use.
     StoreUnreachable = 680,
     /// The platform's store can be read again.
