--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod configuration;
 mod directory;
+mod evacuation;
 mod lending;
 mod listing_polls;
 mod metrics;
@@ -28,6 +29,7 @@
 mod settings_file;
 mod shared;
 mod watched_table;
+mod zone_route;
 
 pub use crate::{
     metrics::NodeMetrics,
