--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,7 +17,9 @@
 mod callers;
 mod configuration;
 mod directory;
+mod evacuation;
 mod lending;
+mod listing_polls;
 mod metrics;
 mod open_requests;
 mod owner;
@@ -27,6 +29,7 @@
 mod settings_file;
 mod shared;
 mod watched_table;
+mod zone_route;
 
 pub use crate::{
     metrics::NodeMetrics,
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -3,10 +3,12 @@
 mod action;
 mod admission;
 mod due;
+mod evacuation;
 mod held;
 mod job_state;
 mod lending;
 mod listings;
+mod load;
 mod losses;
 mod place;
 mod renewal;
@@ -20,6 +22,7 @@
     Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
     TargetInfo, TargetLosses, TargetRun,
     dispatcher::{
+        evacuation::EvacuatedZones,
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
     },
@@ -91,6 +94,7 @@
     /// Number of runs that ended without a listed end since [`Dispatcher::take_lost_runs`].
     lost_runs: u64,
     target_losses: TargetLosses,
+    evacuated_zones: EvacuatedZones,
 }
 
 /// Position of a job in the queue, with what shows cheaply that none of its tasks can start.
@@ -145,6 +149,7 @@
             next_part: claim.id.0,
             lost_runs: 0,
             target_losses: TargetLosses::new(),
+            evacuated_zones: EvacuatedZones::new(),
         }
     }
 
@@ -180,24 +185,6 @@
         &self.run_times
     }
 
-    /// Returns the current load of the targets.
-    pub fn load(&self) -> Load {
-        let mut load =
-            Load { jobs: self.jobs.len(), targets: self.targets.len(), ..Load::default() };
-        for target in self.targets.iter().filter(|target| target.is_healthy()) {
-            load.healthy_targets += 1;
-            load.total_cpu_milli += target.info().capacity.cpu_milli;
-            load.free_cpu_milli += target.free().cpu_milli;
-            load.free_tasks += target.free().cpu_milli / self.average_cpu_milli.max(1);
-        }
-        // Sequential access to the jobs is several times faster than a lookup for each queue entry.
-        for job in self.jobs.iter().filter(|job| job.is_queued()) {
-            load.queued_tasks += job.waiting_tasks() as u64;
-            load.queued_cpu_milli += job.waiting_cpu_milli();
-        }
-        load
-    }
-
     /// Returns the number of queued jobs per priority, most urgent first.
     pub fn queued_jobs(&self) -> Vec<(u8, usize)> {
         let mut queued: Vec<(u8, usize)> = Vec::new();
@@ -337,6 +324,7 @@
         {
             log_event!(warn, TargetRestartSeen, target = id, run = %run, clock_ms);
             self.request_listing(target_index, now_ms);
+            self.restart_polling(target_index);
         }
         let Some(target_run) = target_run else { return };
         let target = &mut self.targets[target_index];
@@ -381,6 +369,7 @@
                 // The lease was not renewed meanwhile, and the periodic request may still wait for an
                 // earlier incarnation.
                 self.push_listing_request(target_index, now_ms);
+                self.restart_polling(target_index);
             }
             (true, false) => {
                 log_event!(warn, TargetUnreachable, target = id);
@@ -508,6 +497,11 @@
         self.actions.push(Action::RequestListing { target });
     }
 
+    fn restart_polling(&mut self, target_index: usize) {
+        let target = Arc::clone(&self.targets[target_index].info().id);
+        self.actions.push(Action::RestartPolling { target });
+    }
+
     /// Requests the listings that released jobs wait for.
     fn request_awaited_listings(&mut self, now_ms: u64) {
         let mut awaited: Vec<usize> = Vec::new();
