Give up jobs that can't end in time in two more cases

Cause: a job with a part in another zone that had started nothing here was neither refused nor given up when its waiting tasks could no longer end before its caller's deadline, and was held until then.

Change: jobs with offloaded tasks are given up like started ones, and the end of the wait counts as the earliest start once every target of the zone has sent a listing since the job arrived, so that no run of this zone can still turn up.

--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -220,13 +220,16 @@
         }
     }
 
-    /// Gives up jobs that have started but whose waiting tasks cannot end before the caller's
-    /// deadline, even if they started now.
+    /// Gives up jobs that have started, here or in another zone, but whose waiting tasks cannot end
+    /// before the caller's deadline, even if they started as soon as they may.
     fn give_up_unreachable_deadlines(&mut self, now_ms: u64) {
         let misses_deadline = |job: &JobState| {
             let may_give_up = job.phase() == JobPhase::Open && job.submission().part.is_none();
             let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
-            may_give_up && job.has_started() && now_ms + min_remaining_ms > job.caller_deadline_ms()
+            let start_ms = self.earliest_start_ms(job, now_ms);
+            may_give_up
+                && (job.has_started() || job.has_offloaded())
+                && start_ms + min_remaining_ms > job.caller_deadline_ms()
         };
         let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
         let unfinishable: Vec<JobId> =
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -101,15 +101,19 @@
                 targets.is_some_and(|targets| targets.iter().all(has_listing))
                     || now_ms >= job.arrived_at_ms() + LEASE_EXPIRY_MS
             }
-            // Dispatchers that cannot reach each other may be active at the same time, so that the
-            // earlier one may have offloaded tasks until it released the job.
-            EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + CALLER_EXPIRY_MS,
-            EarlierRuns::StillHeld => {
-                now_ms >= job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + CALLER_EXPIRY_MS
-            }
+            EarlierRuns::AnyZone | EarlierRuns::StillHeld => now_ms >= remote_runs_end_ms(job),
         }
     }
 
+    /// Returns the earliest time at which waiting tasks of a job may start. Runs in other zones are waited
+    /// for, but never listed here; runs in this zone are known once each target has sent a listing.
+    pub(super) fn earliest_start_ms(&self, job: &JobState, now_ms: u64) -> u64 {
+        let mut targets = self.targets_of(&job.submission().queue.service);
+        let are_local_runs_known = targets
+            .all(|target| target.has_listing_since(job.arrived_at_ms()) || target.is_silent());
+        if are_local_runs_known { now_ms.max(remote_runs_end_ms(job)) } else { now_ms }
+    }
+
     /// Returns whether the runs of a service that earlier owners of this zone started are known:
     /// all targets that answer have sent a listing, or their leases must have expired.
     ///
@@ -184,6 +188,19 @@
     }
 }
 
+/// Returns the time by which runs of a job that an earlier dispatcher started in any zone have ended; 0
+/// if there are none.
+///
+/// Dispatchers that cannot reach each other may be active at the same time, so that the earlier one may
+/// have offloaded tasks until it released the job.
+const fn remote_runs_end_ms(job: &JobState) -> u64 {
+    match job.submission().earlier_runs {
+        EarlierRuns::None | EarlierRuns::OwnZone => 0,
+        EarlierRuns::AnyZone => job.arrived_at_ms() + CALLER_EXPIRY_MS,
+        EarlierRuns::StillHeld => job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + CALLER_EXPIRY_MS,
+    }
+}
+
 /// Returns whether tasks of a job may start on a target now, as far as its free capacity allows.
 ///
 /// A target that does not enforce its capacity relies on its owner to know what runs on it.
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -412,7 +412,7 @@
         /// Time after which a retry may succeed, in ms; 0 if no retry is suggested.
         retry_after_ms: u64,
     },
-    /// The job can't complete before its caller's deadline; some of its tasks have run.
+    /// The job can't complete before its caller's deadline; some of its tasks may have run.
     GivenUp,
     /// The dispatcher released its targets; its successor can continue the job.
     Moved {
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -114,4 +114,30 @@
         harness.apply_listing(0, &[], &[]);
         assert_eq!(harness.take_starts(), []);
     }
+
+    // Guards against a job that is held until the deadline of its caller, since only another zone may have started it.
+    job_with_an_offloaded_part_whose_other_tasks_cannot_end_in_time_is_given_up(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.report_capacity("b", 1);
+        let mut waiting = Submission { deadline_ms: 300, ..job(JOB, vec![step(2)]) };
+        waiting.queue.stretch = 20.0;
+        harness.submit(waiting);
+        assert_eq!(harness.take_offloaded_parts(), [("b".to_owned(), 1)]);
+        harness.advance(245);
+        assert_eq!(harness.take_answers(), []);
+        harness.advance(10);
+        assert_eq!(harness.take_answers(), [JobAnswer::GivenUp]);
+    }
+
+    // Guards against a job that is held although runs in other zones are waited for until after its deadline.
+    job_that_may_not_start_again_before_its_deadline_is_given_up_once_its_runs_are_known(harness: [14]) {
+        let earlier_runs = EarlierRuns::AnyZone;
+        harness.advance(50);
+        harness.submit(Submission { earlier_runs, waited_ms: 400, ..job(JOB, vec![step(1)]) });
+        harness.advance(50);
+        assert_eq!(harness.take_answers(), []);
+        harness.apply_listing(0, &[], &[]);
+        harness.advance(5);
+        assert_eq!(harness.take_answers(), [JobAnswer::GivenUp]);
+    }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,7 +106,7 @@
     RivalPart = 611,
     /// The process exits before a request has an answer; tasks of its job may have run.
     RequestCutOff = 612,
-    /// A started job can't complete before its caller's deadline; it is answered and stopped.
+    /// A job that may have started can't complete before its caller's deadline; it is answered and stopped.
     JobGivenUp = 613,
     /// A request to start a run of a task is sent to a target.
     TaskStarted = 620,
