--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -114,12 +114,20 @@
                 targets.is_some_and(|targets| targets.iter().all(has_listing))
                     || now_ms >= job.arrived_at_ms() + LEASE_EXPIRY_MS
             }
-            // Dispatchers that cannot reach each other may be active at the same time, so that the
-            // earlier one may have offloaded tasks until it released the job.
-            EarlierRuns::AnyZone => now_ms >= job.arrived_at_ms() + CALLER_EXPIRY_MS,
-            EarlierRuns::StillHeld => {
-                now_ms >= job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + CALLER_EXPIRY_MS
-            }
+            EarlierRuns::AnyZone | EarlierRuns::StillHeld => now_ms >= remote_runs_end_ms(job),
+        }
+    }
+
+    /// Returns the earliest time at which waiting tasks of a job may start. Runs in other zones are waited
+    /// for, but never listed here; runs in this zone are known once each target has sent a listing.
+    pub(super) fn earliest_start_ms(&self, job: &JobState, now_ms: u64) -> u64 {
+        let runs_end_ms = remote_runs_end_ms(job);
+        let mut targets = self.targets_of(&job.submission().queue.service);
+        let is_listed =
+            |target: &Target| target.has_listing_since(job.arrived_at_ms()) || target.is_silent();
+        match runs_end_ms > now_ms && targets.all(is_listed) {
+            true => runs_end_ms,
+            false => now_ms,
         }
     }
 
@@ -209,6 +217,19 @@
     }
 }
 
+/// Returns the time by which runs of a job that an earlier dispatcher started in any zone have ended; 0
+/// if there are none.
+///
+/// Dispatchers that cannot reach each other may be active at the same time, so that the earlier one may
+/// have offloaded tasks until it released the job.
+const fn remote_runs_end_ms(job: &JobState) -> u64 {
+    match job.submission().earlier_runs {
+        EarlierRuns::None | EarlierRuns::OwnZone => 0,
+        EarlierRuns::AnyZone => job.arrived_at_ms() + CALLER_EXPIRY_MS,
+        EarlierRuns::StillHeld => job.arrived_at_ms() + FORMER_HOLDER_GRACE_MS + CALLER_EXPIRY_MS,
+    }
+}
+
 fn is_below_per_target_limit(target: &Target, step: &StepSpec, task: TaskId) -> bool {
     let Some(max) = step.max_per_target else { return true };
     let same_step = |run: &Run| run.task.job == task.job && run.task.step == task.step;
