Choose targets by their measured speed

Cause: targets differ in speed by factors of 0.6 to 1.6, become 5 to 8 times slower for some seconds, and a task takes 2 to 3 times as long off the rack of its data; the choice of the target considered only free CPU and the rack, whatever the cost. Change: the owner measures the run times on each target against the expected ones and compares the targets with their median. A task goes to a target where it is expected to end in time for its job, or else where it ends first. Targets in a slow phase get one task at a time as a probe. The averages of the queues no longer depend on the mix of targets. New optional setting farX in [bounds], event 629, metric ggb_run_time_percent and state `slow` of ggb_owned_targets.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -50,8 +50,12 @@
     /// CPU in thousandths of a core, by state: total and free of the targets in the zone of this
     /// process, and queued, the demand of the waiting tasks.
     pub cpu_milli: IntGaugeVec,
-    /// Number of targets, by state: all, and sound for those that are healthy and get new work.
+    /// Number of targets, by state: all, sound for those that are healthy and get new work, and slow
+    /// for those that have suddenly become several times slower.
     pub targets: IntGaugeVec,
+    /// Average run time relative to the expected one on the fastest, median and slowest target, in
+    /// percent; 0 while too few runs have ended, and without the targets.
+    pub run_time_percent: IntGaugeVec,
     /// Number of jobs that the dispatcher has not finished.
     pub jobs: IntGauge,
     /// 1 while this process is the owner of its zone's targets.
@@ -124,6 +128,11 @@
                 "state",
             ),
             targets: gauges("ggb_owned_targets", "Targets of the zone", "state"),
+            run_time_percent: gauges(
+                "ggb_run_time_percent",
+                "Run times relative to the expected ones",
+                "target",
+            ),
             jobs: gauge("ggb_jobs", "Jobs that the dispatcher has not finished"),
             is_owner: gauge("ggb_is_owner", "Whether this process dispatches for its zone"),
             configuration_version: gauge("ggb_configuration_version", "Version in force"),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -15,7 +15,7 @@
 use ggb_model::{Zone, token_after_restarts};
 use ggb_placement::{
     Action, Claim, ClaimId, Dispatcher, EarlierRuns, JobAnswer, JobId, ListingRequest, Load,
-    PartOutcome, RequestId, Run, Submission, TargetInfo, TargetLoss, TargetLosses,
+    PartOutcome, RequestId, Run, SpeedSummary, Submission, TargetInfo, TargetLoss, TargetLosses,
 };
 use ggb_telemetry::log_event;
 use parking_lot::Mutex;
@@ -141,7 +141,7 @@
         self.update(|dispatcher, _| dispatcher.step_down());
         let mut state = self.state.lock();
         state.part_cancel_senders.clear();
-        *self.shared.run_times.lock() = state.dispatcher.run_times().clone();
+        *self.shared.run_times.lock() = state.dispatcher.run_times();
         *self.shared.target_losses.lock() = state.dispatcher.target_losses().clone();
     }
 
@@ -173,6 +173,11 @@
         self.state.lock().dispatcher.target_losses().clone()
     }
 
+    /// Returns the measured speeds of the zone's targets.
+    pub(crate) fn speed_summary(&self) -> SpeedSummary {
+        self.state.lock().dispatcher.speed_summary()
+    }
+
     /// Returns the current load of the zone's targets.
     pub(crate) fn load(&self) -> Load {
         self.state.lock().dispatcher.load()
@@ -479,7 +484,9 @@
 
     async fn run_ticks(self: Arc<Self>) {
         while !self.stopped.load(Ordering::Relaxed) {
+            let far_factor = self.shared.live_settings().far_factor;
             let has_jobs = self.update(|dispatcher, now_ms| {
+                dispatcher.set_far_factor(far_factor);
                 dispatcher.tick(now_ms);
                 dispatcher.prune_removed_targets();
                 dispatcher.has_jobs()
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -398,6 +398,16 @@
     set_cpu("queued", load.queued_cpu_milli);
     shared.metrics.targets.with_label_values(&["all"]).set(load.targets as i64);
     shared.metrics.targets.with_label_values(&["sound"]).set(load.healthy_targets as i64);
+    let speeds = shared.owner.load().as_ref().map(|owner| owner.speed_summary());
+    let speeds = speeds.unwrap_or_default();
+    shared.metrics.targets.with_label_values(&["slow"]).set(speeds.slow_targets as i64);
+    for (target, percent) in [
+        ("fastest", speeds.fastest_percent),
+        ("median", speeds.median_percent),
+        ("slowest", speeds.slowest_percent),
+    ] {
+        shared.metrics.run_time_percent.with_label_values(&[target]).set(percent as i64);
+    }
 }
 
 /// Logs and counts the connections that have gone silent since the last call.
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -10,6 +10,8 @@
 mod losses;
 mod place;
 mod renewal;
+mod selection;
+mod speeds;
 
 use std::sync::Arc;
 
@@ -22,6 +24,7 @@
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
+        speeds::SpeedComparison,
     },
 };
 
@@ -29,6 +32,7 @@
     action::{Action, Load, RequestId, StartOutcome},
     lending::PartOutcome,
     renewal::ListingRequest,
+    speeds::SpeedSummary,
 };
 
 /// Maximum number of cached answers.
@@ -76,6 +80,7 @@
     /// Answers of finished jobs for repeated submissions, sorted by job id.
     cached_answers: Vec<CachedAnswer>,
     run_times: RunTimes,
+    speed_comparison: SpeedComparison,
     actions: Vec<Action>,
     /// Target id and time of the last extra listing request, sorted by id.
     listing_requests: Vec<(Arc<str>, u64)>,
@@ -121,6 +126,7 @@
             queue: Vec::new(),
             cached_answers: Vec::new(),
             run_times,
+            speed_comparison: SpeedComparison::new(),
             actions: Vec::new(),
             listing_requests: Vec::new(),
             superseded: false,
@@ -161,11 +167,6 @@
         Some(&mut self.targets[index])
     }
 
-    /// Returns the run time estimates, for use by the next dispatcher.
-    pub const fn run_times(&self) -> &RunTimes {
-        &self.run_times
-    }
-
     /// Returns the current load of the targets.
     pub fn load(&self) -> Load {
         let mut load =
@@ -200,7 +201,7 @@
         self.record_target_restart(&info);
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
             Ok(index) => self.targets[index].update_info(info),
-            Err(index) => self.targets.insert(index, Target::new(info)),
+            Err(index) => self.targets.insert(index, self.new_target(info)),
         }
     }
 
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -224,6 +224,22 @@
         self.received_at_ms + self.objective_ms.saturating_sub(remaining_ms)
     }
 
+    /// Returns the time by which a task of `step` must end for the job to meet its objective, given
+    /// the steps that depend on it.
+    pub(super) fn latest_end_ms(&self, step: u16) -> u64 {
+        let steps = &self.submission.job.steps;
+        let mut remaining_ms = vec![0; steps.len()];
+        for later in (usize::from(step) + 1..steps.len()).rev() {
+            let own_ms = self.expected_ms[later] + remaining_ms[later];
+            for earlier in &steps[later].after {
+                let earlier = &mut remaining_ms[usize::from(*earlier)];
+                *earlier = own_ms.max(*earlier);
+            }
+        }
+        let end_ms = self.received_at_ms + self.objective_ms;
+        end_ms.saturating_sub(remaining_ms[usize::from(step)])
+    }
+
     /// Returns the expected critical path through the steps with waiting tasks, in ms.
     pub(super) fn waiting_critical_path_ms(&self) -> u64 {
         self.critical_path_ms(|state| matches!(state, TaskState::Waiting))
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -60,6 +60,7 @@
         for ended in ended {
             self.apply_run_end(target_index, ended, requested_at_ms, now_ms);
         }
+        self.check_slow_phase(target_index, requested_at_ms, now_ms);
         let is_answered = |target_run: &TargetRun| target_run.phase != RunPhase::Ordered;
         if self.targets[target_index].undecided_runs().any(is_answered) {
             self.push_listing_request(target_index, now_ms);
@@ -88,11 +89,8 @@
         }
         match end {
             RunEnd::Done => {
-                if let Some(job) = self.job(run.task.job) {
-                    let queue = Arc::clone(&job.submission().queue.name);
-                    if target_run.is_some_and(|target_run| target_run.phase == RunPhase::Running) {
-                        self.run_times.observe(&queue, ran_ms);
-                    }
+                if let Some(target_run) = target_run {
+                    self.observe_run_time(target_index, &target_run, ran_ms, now_ms);
                 }
                 self.complete_task(run, &target_id, now_ms);
             }
@@ -266,10 +264,10 @@
             return;
         }
         let demand = job.step(run.task).demand;
-        let expected_ms = job.expected_ms[usize::from(run.task.step)];
         job.assign(task_index, Arc::clone(&target_id), run);
         let queued = job.waiting_tasks() > 0;
         log_event!(info, RunAdopted, run = %run, target = %target_id);
+        let (expected_ms, _) = self.expected_run_ms(target_index, run.task);
         self.targets[target_index].adopt(run, demand, expected_ms, now_ms);
         // The lease was last renewed by the earlier dispatcher. A renewal that waits for the next
         // end would come too late for it.
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Action, CALLER_EXPIRY_MS, Capacity, Dispatcher, EarlierRuns, JobId, LEASE_EXPIRY_MS, Run,
-    StepSpec, Target, TaskId,
+    Target,
     dispatcher::job_state::{JobPhase, JobState},
 };
 
@@ -128,43 +128,18 @@
         self.targets.iter().filter(move |target| *target.info().service == *service)
     }
 
-    /// Returns the target that fits the task with the least CPU time left over. Targets in the rack
-    /// of the task's data come first, and the target where the task failed last comes last.
-    ///
-    /// A task that may have crashed a target gets a target of its own.
-    fn choose_target(
-        &self,
-        job: &JobState,
-        task: TaskId,
-        avoided_target: Option<&str>,
-        now_ms: u64,
-    ) -> Option<usize> {
-        let step = job.step(task);
-        let fits = |target: &Target| {
-            may_start_on(target, job, now_ms)
-                && self.may_share_target(task, target)
-                && target.free().fits(&step.demand)
-                && target.has_label(step.required_label.as_deref())
-                && is_below_per_target_limit(target, step, task)
-        };
-        let cost = |target: &Target| {
-            let avoided = avoided_target == Some(target.info().id.as_ref());
-            let off_rack = !target.info().has_label(step.near_rack.as_deref());
-            (avoided, off_rack, target.free().saturating_sub(&step.demand).cpu_milli)
-        };
-        let candidates = self.targets.iter().enumerate().filter(|(_, target)| fits(target));
-        candidates.min_by_key(|(_, target)| cost(target)).map(|(target_index, _)| target_index)
-    }
-
     fn start_task(&mut self, id: JobId, task_index: usize, target_index: usize, now_ms: u64) {
         let Ok(job_index) = self.jobs.binary_search_by_key(&id, JobState::id) else { return };
+        let task_id = self.jobs[job_index].tasks[task_index].id;
+        let (run_ms, reference_ms) = self.expected_run_ms(target_index, task_id);
         let job = &mut self.jobs[job_index];
         let task = &job.tasks[task_index];
         let run = Run { task: task.id, number: task.last_run_number + 1 };
         let demand = job.step(task.id).demand;
         let expected_ms = job.expected_ms[usize::from(task.id.step)];
         let target = &mut self.targets[target_index];
-        let valid_until_clock_ms = target.reserve(run, demand, expected_ms, now_ms);
+        let valid_until_clock_ms = target.reserve(run, demand, run_ms, now_ms);
+        target.set_reference_ms(run, reference_ms);
         let target_id = Arc::clone(&target.info().id);
         let waited_ms = now_ms.saturating_sub(job.received_at_ms());
         log_job_event!(run.task.job.is_sampled(), TaskStarted, run = %run, target = %target_id,
@@ -194,10 +169,3 @@
         && (queue.targets_enforce_capacity || target.is_free_capacity_known())
         && target.lease_ends_before_return(job.caller_checked_at_ms(), now_ms)
 }
-
-fn is_below_per_target_limit(target: &Target, step: &StepSpec, task: TaskId) -> bool {
-    let Some(max) = step.max_per_target else { return true };
-    let same_step = |run: &Run| run.task.job == task.job && run.task.step == task.step;
-    let running = target.runs().iter().filter(|target_run| same_step(&target_run.run)).count();
-    running < max as usize
-}
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::TargetSpeed;
+
 /// Weight of a new run time in the moving average; about the last 30 runs count.
 const LEARNING_RATE: f64 = 1.0 / 30.0;
 
@@ -21,6 +23,8 @@
 pub struct RunTimes {
     /// Sorted by queue.
     queues: Vec<QueueTimes>,
+    /// Speeds that the last dispatcher of this process measured, sorted by target id.
+    target_speeds: Vec<(Arc<str>, TargetSpeed)>,
 }
 
 impl RunTimes {
@@ -43,6 +47,20 @@
         self.queues.len()
     }
 
+    /// Returns a copy with the given speeds of targets, which are sorted by target id.
+    pub(crate) fn with_target_speeds(
+        &self,
+        target_speeds: impl Iterator<Item = (Arc<str>, TargetSpeed)>,
+    ) -> Self {
+        RunTimes { queues: self.queues.clone(), target_speeds: target_speeds.collect() }
+    }
+
+    /// Returns the speed that the last dispatcher of this process measured.
+    pub(crate) fn target_speed(&self, target: &str) -> Option<TargetSpeed> {
+        let found = self.target_speeds.binary_search_by(|(id, _)| id.as_ref().cmp(target));
+        found.ok().map(|index| self.target_speeds[index].1)
+    }
+
     /// Adds the run time of a completed task to the average of its queue.
     pub fn observe(&mut self, queue: &Arc<str>, ran_ms: u64) {
         let log = (ran_ms.max(1) as f64).ln();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,7 +14,8 @@
 //! * which tasks are not started again since targets crashed under them, see [`TargetLosses`].
 //!
 //! [`RoutedJob`] tracks what each dispatcher of a job must be told about the dispatchers before it.
-//! [`RunTimes`] estimates the run times of tasks per queue.
+//! [`RunTimes`] estimates the run times of tasks per queue, and [`TargetSpeed`] measures by which factor
+//! they differ between targets.
 
 mod capacity;
 mod dispatcher;
@@ -28,10 +29,14 @@
 mod target_info;
 mod target_loss;
 mod target_run;
+mod target_speed;
 
 pub use crate::{
     capacity::Capacity,
-    dispatcher::{Action, Dispatcher, ListingRequest, Load, PartOutcome, RequestId, StartOutcome},
+    dispatcher::{
+        Action, Dispatcher, ListingRequest, Load, PartOutcome, RequestId, SpeedSummary,
+        StartOutcome,
+    },
     estimate::RunTimes,
     job::{
         BatchJob, Claim, ClaimId, EarlierRuns, JobAnswer, JobId, MAX_TASKS_PER_JOB, QueueRules,
@@ -44,4 +49,5 @@
     target_info::TargetInfo,
     target_loss::{LossCause, LossCount, StartRule, TargetLoss, TargetLosses},
     target_run::{Confirmation, EndedRun, RunPhase, TargetRun},
+    target_speed::TargetSpeed,
 };
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -1,12 +1,16 @@
 //! State that a dispatcher keeps for each target.
 
 mod listings;
+mod speed;
 
 use crate::{
     CALLER_EXPIRY_MS, Capacity, Confirmation, EndedRun, LEASE_EXPIRY_MS, MAX_LEASE_MS, Run, RunEnd,
-    RunPhase, TargetInfo, TargetRun, TaskId, lease::lease_expiry_ms, target_clock::ClockReading,
+    RunPhase, TargetInfo, TargetRun, TargetSpeed, TaskId, lease::lease_expiry_ms,
+    target_clock::ClockReading,
 };
 
+pub(crate) use self::speed::scale_ms;
+
 /// Time for which a start request is valid. Within a zone a request usually takes 1 ms; a target
 /// rejects a request that arrives after this time, since it was delayed in flight.
 pub const START_REQUEST_VALIDITY_MS: u64 = 100;
@@ -74,6 +78,11 @@
     removed: bool,
     /// Time at which a loss of the target was recorded that its next listing can settle.
     loss_recorded_at_ms: Option<u64>,
+    speed: TargetSpeed,
+    /// Time at which the last listing arrived.
+    listing_arrived_at_ms: u64,
+    /// Time between the arrival of the listing before the last one and the request for the last one.
+    listing_gap_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -88,6 +97,9 @@
     /// The target gets no tasks before its first listing shows what runs on it.
     pub const fn new(info: TargetInfo) -> Self {
         Target {
+            speed: TargetSpeed::new(info.started_unix_ms),
+            listing_arrived_at_ms: 0,
+            listing_gap_ms: 0,
             info,
             runs: Vec::new(),
             used: Capacity { cpu_milli: 0, memory_mb: 0, gpus: 0 },
@@ -230,6 +242,7 @@
             && !self.unreachable
             && !probing
             && now_ms >= self.ejected_until_ms
+            && !self.is_spared(now_ms)
     }
 
     /// Returns whether the target counts as available capacity for load reports and admission. An
@@ -383,6 +396,7 @@
             valid_until_clock_ms,
             sent_to_unix_ms: self.started_unix_ms(),
             expected_ms,
+            reference_ms: None,
             progress_percent: 0,
             last_progress_at_ms: now_ms,
             last_listed_at_ms: now_ms,
--- a/crates/placement/src/target/listings.rs
+++ b/crates/placement/src/target/listings.rs
@@ -39,6 +39,9 @@
             // Another dispatcher may have renewed the lease immediately before.
             self.record_lease_renewal(LEASE_MS, now_ms);
         }
+        self.check_speed_incarnation(listing.started_unix_ms);
+        self.listing_gap_ms = requested_at_ms.saturating_sub(self.listing_arrived_at_ms);
+        self.listing_arrived_at_ms = now_ms;
         self.last_listing_requested_at_ms = self.last_listing_requested_at_ms.max(requested_at_ms);
         self.unlisted_clock.take_if(|clock| requested_at_ms >= clock.read_at_ms);
         let clock =
@@ -124,6 +127,7 @@
                     valid_until_clock_ms: 0,
                     sent_to_unix_ms: listing.started_unix_ms,
                     expected_ms: 0,
+                    reference_ms: None,
                     progress_percent: listed.progress_percent,
                     last_progress_at_ms: now_ms,
                     last_listed_at_ms: now_ms,
--- a/crates/placement/src/target_run.rs
+++ b/crates/placement/src/target_run.rs
@@ -81,8 +81,11 @@
     /// Start of the incarnation that had last sent a listing when the start request was sent, in ms
     /// since 1970. The request carried the owner's token for it, but may have reached a later one.
     pub sent_to_unix_ms: u64,
-    /// Expected run time, in ms.
+    /// Expected run time on this target, in ms.
     pub expected_ms: u64,
+    /// Expected run time on a target of median speed, in ms; `None` if it is not known, or if an
+    /// earlier dispatcher started the run.
+    pub reference_ms: Option<u64>,
     /// Progress as last listed.
     pub progress_percent: u8,
     /// Time of the first listing with this progress.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -127,6 +127,8 @@
     RunLost = 627,
     /// Another process reported a target that was lost while it ran a task, or what became of it.
     TargetLossLearned = 628,
+    /// A target became several times slower than expected, or recovered.
+    TargetSpeedChanged = 629,
     /// A target sent its first listing to this dispatcher and now rejects lower fencing tokens.
     TargetOwned = 640,
     /// A target does not answer requests for a listing.
