Test the choice of targets by their measured speed

Cause: no test had targets of different or changing speed, or tasks that run longer than their callers declare. Change: a simulated target has a run time factor, also for runs in progress; the simulation draws run times around the declared ones, with long tasks.

--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -127,7 +127,8 @@
     fn work_of(&self, run: Run) -> SimulatedWork {
         let caller_index = usize::from_str_radix(run.task.job.as_str(), 16)
             .expect("job ids are caller indexes in hexadecimal");
-        self.callers[caller_index].work
+        let work = self.callers[caller_index].work;
+        SimulatedWork { work_ms: self.run_time_spread.work_ms(work.work_ms, run.task), ..work }
     }
 
     fn send_start(
@@ -356,7 +357,7 @@
     }
 
     /// Answers the requests for listings that wait for the next end of a run, when it has come.
-    fn schedule_end(&mut self, target_index: usize) {
+    pub(super) fn schedule_end(&mut self, target_index: usize) {
         let now_ms = self.now_ms;
         let Some(end_ms) = self.targets[target_index].simulated.next_end_ms() else { return };
         self.schedule_after(end_ms.saturating_sub(now_ms).max(1), move |sim| {
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod links;
 mod schedule;
 pub mod shapes;
+mod speeds;
 
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
@@ -21,6 +22,7 @@
 use links::ListingCall;
 use schedule::ScheduledEvent;
 use shapes::JobShape;
+pub use speeds::RunTimeSpread;
 
 /// Time after which a caller stops waiting.
 const DEADLINE_MS: u64 = 1_500;
@@ -147,6 +149,7 @@
     pub now_ms: u64,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
+    pub run_time_spread: RunTimeSpread,
     pub callers: Vec<Caller>,
     events: BinaryHeap<Reverse<ScheduledEvent>>,
     next_event_number: u64,
@@ -184,6 +187,7 @@
             now_ms: 1_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
+            run_time_spread: RunTimeSpread::default(),
             callers: Vec::new(),
             events: BinaryHeap::new(),
             next_event_number: 0,
--- a/crates/standin/src/simulated_target.rs
+++ b/crates/standin/src/simulated_target.rs
@@ -25,7 +25,7 @@
 pub struct SimulatedWork {
     /// Capacity that the run takes.
     pub demand: Capacity,
-    /// Run time on a healthy target.
+    /// Run time on a healthy target of speed 1.
     pub work_ms: u64,
     /// Whether the run fails at its end on every target.
     pub fails: bool,
@@ -83,6 +83,8 @@
     highest_ended: Vec<(TaskId, u32)>,
     /// Behaviour of runs that start from now on.
     pub mode: SimulatedTargetMode,
+    /// Run time relative to that of a target of speed 1, in percent; 100 for a new incarnation.
+    run_time_percent: u64,
     records: Vec<RunRecord>,
 }
 
@@ -100,6 +102,7 @@
             last_end_number: 0,
             highest_ended: Vec::new(),
             mode: SimulatedTargetMode::Healthy,
+            run_time_percent: 100,
             records: Vec::new(),
         }
     }
@@ -128,6 +131,19 @@
         *self = SimulatedTarget { records, started_unix_ms, ..next };
     }
 
+    /// Changes the run time relative to that of a target of speed 1, also for the remaining work of the
+    /// runs in progress.
+    pub fn set_run_time_percent(&mut self, percent: u64, now_ms: u64) {
+        self.advance(now_ms);
+        for run in &mut self.runs {
+            let scale = |ends_at_ms: u64| {
+                now_ms + ends_at_ms.saturating_sub(now_ms) * percent / self.run_time_percent
+            };
+            run.ends_at_ms = run.ends_at_ms.map(scale);
+        }
+        self.run_time_percent = percent;
+    }
+
     /// Returns the time at which the next run ends by itself or the lease of running tasks expires.
     pub fn next_end_ms(&self) -> Option<u64> {
         let ends = self.runs.iter().filter_map(|run| run.ends_at_ms).min();
@@ -232,13 +248,12 @@
         if !self.capacity.saturating_sub(&self.used()).fits(&work.demand) {
             return StartOutcome::NoRoom;
         }
+        let work_ms = work.work_ms * self.run_time_percent / 100;
         let (ends_at_ms, end) = match self.mode {
             SimulatedTargetMode::Stalled => (None, RunEnd::Lost),
             SimulatedTargetMode::Failing => (Some(now_ms + 1), RunEnd::Failed),
-            SimulatedTargetMode::Healthy if work.fails => {
-                (Some(now_ms + work.work_ms), RunEnd::Failed)
-            }
-            SimulatedTargetMode::Healthy => (Some(now_ms + work.work_ms), RunEnd::Done),
+            SimulatedTargetMode::Healthy if work.fails => (Some(now_ms + work_ms), RunEnd::Failed),
+            SimulatedTargetMode::Healthy => (Some(now_ms + work_ms), RunEnd::Done),
         };
         self.runs.push(SimulatedRun { run, work, started_at_ms: now_ms, ends_at_ms, end });
         if work.crashes {
