--- a/crates/placement/src/dispatcher/speeds.rs
+++ b/crates/placement/src/dispatcher/speeds.rs
@@ -192,7 +192,8 @@
         let target = &self.targets[target_index];
         log_event!(
             info, TargetSpeedChanged, target = %target.info().id, is_slow, in_progress,
-            slowness = target.speed().slowness(), running = target.runs().len()
+            ended = target.speed().far_over_runs(), slowness = target.speed().slowness(),
+            running = target.runs().len()
         );
     }
 
--- a/crates/placement/src/target_speed.rs
+++ b/crates/placement/src/target_speed.rs
@@ -102,6 +102,12 @@
         self.slowness
     }
 
+    /// Returns the number of runs that ended far over their expected time since the last one that did
+    /// not.
+    pub(crate) const fn far_over_runs(&self) -> usize {
+        self.far_over_runs
+    }
+
     /// Returns whether the target is in a slow phase.
     pub const fn is_slow(&self) -> bool {
         self.slow_phase.is_some()
