--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -12,6 +12,8 @@
 mod losses;
 mod place;
 mod renewal;
+mod selection;
+mod speeds;
 
 use std::sync::Arc;
 
@@ -25,6 +27,7 @@
         evacuation::EvacuatedZones,
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
+        speeds::SpeedComparison,
     },
 };
 
@@ -32,6 +35,7 @@
     action::{Action, Load, RequestId, StartOutcome},
     lending::PartOutcome,
     renewal::ListingRequest,
+    speeds::SpeedSummary,
 };
 
 /// Maximum number of cached answers.
@@ -79,6 +83,7 @@
     /// Answers of finished jobs for repeated submissions, sorted by job id.
     cached_answers: Vec<CachedAnswer>,
     run_times: RunTimes,
+    speed_comparison: SpeedComparison,
     actions: Vec<Action>,
     /// Target id and time of the last extra listing request, sorted by id.
     listing_requests: Vec<(Arc<str>, u64)>,
@@ -139,6 +144,7 @@
             queue: Vec::new(),
             cached_answers: Vec::new(),
             run_times,
+            speed_comparison: SpeedComparison::new(),
             actions: Vec::new(),
             listing_requests: Vec::new(),
             superseded: false,
@@ -180,11 +186,6 @@
         Some(&mut self.targets[index])
     }
 
-    /// Returns the run time estimates, for use by the next dispatcher.
-    pub const fn run_times(&self) -> &RunTimes {
-        &self.run_times
-    }
-
     /// Returns the number of queued jobs per priority, most urgent first.
     pub fn queued_jobs(&self) -> Vec<(u8, usize)> {
         let mut queued: Vec<(u8, usize)> = Vec::new();
@@ -203,7 +204,7 @@
         self.record_target_restart(&info);
         match self.targets.binary_search_by(|target| target.info().id.cmp(&info.id)) {
             Ok(index) => self.targets[index].update_info(info),
-            Err(index) => self.targets.insert(index, Target::new(info)),
+            Err(index) => self.targets.insert(index, self.new_target(info)),
         }
     }
 
@@ -497,11 +498,6 @@
         self.actions.push(Action::RequestListing { target });
     }
 
-    fn restart_polling(&mut self, target_index: usize) {
-        let target = Arc::clone(&self.targets[target_index].info().id);
-        self.actions.push(Action::RestartPolling { target });
-    }
-
     /// Requests the listings that released jobs wait for.
     fn request_awaited_listings(&mut self, now_ms: u64) {
         let mut awaited: Vec<usize> = Vec::new();
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -227,14 +227,16 @@
         }
     }
 
-    /// Gives up jobs that have started but whose waiting tasks cannot end before the caller's
-    /// deadline, even if they started now.
+    /// Gives up jobs that have started, here or in another zone, but whose waiting tasks cannot end
+    /// before the caller's deadline, even if they started as soon as they may.
     fn give_up_unreachable_deadlines(&mut self, now_ms: u64) {
         let misses_deadline = |job: &JobState| {
-            let may_give_up =
-                job.is_queued() && job.has_started() && job.submission().part.is_none();
+            let may_give_up = job.is_queued()
+                && job.submission().part.is_none()
+                && (job.has_started() || job.has_offloaded());
+            let start_ms = self.earliest_start_ms(job, now_ms);
             let misses_deadline = |remaining_ms: u64| {
-                now_ms + remaining_ms * MIN_RUN_PERCENT / 100 > job.caller_deadline_ms()
+                start_ms + remaining_ms * MIN_RUN_PERCENT / 100 > job.caller_deadline_ms()
             };
             // The sum over all steps is an upper bound of the critical path that needs no search.
             may_give_up
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod links;
 mod schedule;
 pub mod shapes;
+mod speeds;
 
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
@@ -23,6 +24,7 @@
 use links::ListingCall;
 use schedule::ScheduledEvent;
 use shapes::JobShape;
+pub use speeds::RunTimeSpread;
 
 /// Time after which a caller stops waiting.
 const DEADLINE_MS: u64 = 1_500;
@@ -70,23 +72,6 @@
     poll_restarts: Vec<(usize, u32)>,
 }
 
-impl Owner {
-    /// Returns the number of times that polling of a target was restarted.
-    fn poll_restarts(&self, target_index: usize) -> u32 {
-        let restarts = &self.poll_restarts;
-        let position = restarts.binary_search_by_key(&target_index, |(target, _)| *target);
-        position.map_or(0, |position| restarts[position].1)
-    }
-
-    fn count_poll_restart(&mut self, target_index: usize) {
-        let restarts = &mut self.poll_restarts;
-        match restarts.binary_search_by_key(&target_index, |(target, _)| *target) {
-            Ok(position) => restarts[position].1 += 1,
-            Err(position) => restarts.insert(position, (target_index, 1)),
-        }
-    }
-}
-
 /// A part of a job that an owner submitted to another one.
 struct Offloaded {
     part: u64,
@@ -168,6 +153,7 @@
     pub now_ms: u64,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
+    pub run_time_spread: RunTimeSpread,
     pub callers: Vec<Caller>,
     events: BinaryHeap<Reverse<ScheduledEvent>>,
     next_event_number: u64,
@@ -206,6 +192,7 @@
             now_ms: 1_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
+            run_time_spread: RunTimeSpread::default(),
             callers: Vec::new(),
             events: BinaryHeap::new(),
             next_event_number: 0,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,7 +106,7 @@
     RivalPart = 611,
     /// The process exits before a request has an answer; tasks of its job may have run.
     RequestCutOff = 612,
-    /// A started job can't complete before its caller's deadline; it is answered and stopped.
+    /// A job that may have started can't complete before its caller's deadline; it is answered and stopped.
     JobGivenUp = 613,
     /// A request to start a run of a task is sent to a target.
     TaskStarted = 620,
@@ -127,6 +127,8 @@
     RunLost = 627,
     /// Another process reported a target that was lost while it ran a task, or what became of it.
     TargetLossLearned = 628,
+    /// A target became several times slower than expected, or recovered.
+    TargetSpeedChanged = 629,
     /// A target sent its first listing to this dispatcher and now rejects lower fencing tokens.
     TargetOwned = 640,
     /// A target does not answer requests for a listing.
