Shed the waiting work that costs callers least

Cause: under overload the job that meets the queue is refused, whatever its refusal costs, and jobs that cannot start in time wait for 35% of their objective before they are refused. Late jobs with almost all of their work done waited behind everything else until their callers gave up.

Change: at each arrival and each tick the owner plans when the waiting jobs start, by the rule of Moore and Hodgson with weights. A job that would start too late is refused at once, or the cheapest jobs ahead of it are, whichever costs less. The cost per unit of work is the weight of the priority divided by the queue's share of recent work. Capacity that more urgent arrivals took recently does not count for a job. A late job keeps its place if at most a fifth of its work is left; other started late jobs come before unstarted ones. Event 614, metrics ggb_turned_away_total and ggb_work_share_permille, refusal reason Displaced.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Prometheus metrics of the process.
 
+use std::sync::Arc;
+
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
+use ggb_placement::RefusalReason;
 use ggb_telemetry::MetricSet;
 
 /// Panic message if a metric can't be created or registered.
@@ -28,6 +31,12 @@
     pub overhead_ms: HistogramVec,
     /// Number of refused requests, by reason.
     pub refusals: IntCounterVec,
+    /// Number of jobs that the dispatcher of this process refused, by queue and reason; `Displaced`
+    /// for queued jobs that gave way to others.
+    pub turned_away: IntCounterVec,
+    /// Share of each queue in the work that the dispatcher of this process started recently, in
+    /// thousandths.
+    pub work_share_permille: IntGaugeVec,
     /// Time from the arrival of a job to the start request for each of its tasks, by size: `short`
     /// or `long`, depending on the expected run time.
     pub task_wait_ms: HistogramVec,
@@ -97,6 +106,16 @@
             response_ms: histograms("ggb_response_ms", "Time to the answer of a request", "queue"),
             overhead_ms: histograms("ggb_over_ideal_ms", "Time beyond the ideal", "priority"),
             refusals: counters("ggb_refusals_total", "Refused requests", &["reason"]),
+            turned_away: counters(
+                "ggb_turned_away_total",
+                "Jobs that the dispatcher refused",
+                &["queue", "reason"],
+            ),
+            work_share_permille: gauges(
+                "ggb_work_share_permille",
+                "Share of a queue in the work started recently",
+                "queue",
+            ),
             task_wait_ms: histograms("ggb_task_wait_ms", "Wait of tasks for their start", "size"),
             queued_jobs: gauges("ggb_queued_jobs", "Jobs that wait for room", "priority"),
             target_requests: counters(
@@ -134,6 +153,16 @@
 }
 
 impl NodeMetrics {
+    /// Adds numbers of refused jobs by queue and reason.
+    pub fn add_turned_away(
+        &self,
+        turned_away: impl IntoIterator<Item = (Arc<str>, RefusalReason, u64)>,
+    ) {
+        for (queue, reason, jobs) in turned_away {
+            self.turned_away.with_label_values(&[&*queue, &format!("{reason:?}")]).inc_by(jobs);
+        }
+    }
+
     /// Records the wait of a task whose start is requested now.
     pub fn observe_start(&self, waited_ms: u64, expected_ms: u64) {
         let size = if expected_ms < SHORT_TASK_THRESHOLD_MS { "short" } else { "long" };
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -183,6 +183,11 @@
         self.state.lock().dispatcher.queued_jobs()
     }
 
+    /// Returns the share of each queue in the work that was started recently.
+    pub(crate) fn work_shares(&self) -> Vec<(Arc<str>, f64)> {
+        self.state.lock().dispatcher.work_shares()
+    }
+
     /// Submits a job to the dispatcher.
     ///
     /// A stopped owner does not take the job. A part of another zone's job that an earlier owner
@@ -274,6 +279,7 @@
         let result = change(&mut state.dispatcher, now_ms);
         let actions = state.dispatcher.take_actions();
         self.shared.metrics.lost_runs.inc_by(state.dispatcher.take_lost_runs());
+        self.shared.metrics.add_turned_away(state.dispatcher.take_turned_away());
         drop(state);
         for action in actions {
             self.execute(action);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -390,6 +390,12 @@
         let priority = priority.to_string();
         shared.metrics.queued_jobs.with_label_values(&[&priority]).set(jobs as i64);
     }
+    let shares = shared.owner.load().as_ref().map(|owner| owner.work_shares());
+    shared.metrics.work_share_permille.reset();
+    for (queue, share) in shares.unwrap_or_default() {
+        let share_permille = (share * 1_000.0).round() as i64;
+        shared.metrics.work_share_permille.with_label_values(&[&*queue]).set(share_permille);
+    }
     let set_cpu = |state: &str, value: u64| {
         shared.metrics.cpu_milli.with_label_values(&[state]).set(value as i64);
     };
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -8,7 +8,10 @@
 mod lending;
 mod listings;
 mod losses;
+mod overload;
 mod place;
+mod queue_entry;
+mod recent_work;
 mod renewal;
 
 use std::sync::Arc;
@@ -22,6 +25,8 @@
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
+        queue_entry::QueueEntry,
+        recent_work::RecentWork,
     },
 };
 
@@ -91,17 +96,9 @@
     /// Number of runs that ended without a listed end since [`Dispatcher::take_lost_runs`].
     lost_runs: u64,
     target_losses: TargetLosses,
-}
-
-/// Queue position of a job; the order of the fields is the scheduling order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueEntry {
-    /// `true` if the job can no longer meet its objective. Such jobs are scheduled after all
-    /// others.
-    is_late: bool,
-    priority: u8,
-    received_at_ms: u64,
-    job: JobId,
+    recent_work: RecentWork,
+    /// Numbers of refused jobs by queue and reason since [`Dispatcher::take_turned_away`].
+    turned_away: Vec<(Arc<str>, RefusalReason, u64)>,
 }
 
 impl Dispatcher {
@@ -131,6 +128,8 @@
             next_part: claim.id.0,
             lost_runs: 0,
             target_losses: TargetLosses::new(),
+            recent_work: RecentWork::new(now_ms),
+            turned_away: Vec::new(),
         }
     }
 
@@ -402,12 +401,13 @@
     fn refuse_job(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
         if let Some(job) = self.job(id) {
             let waited_ms = now_ms - job.received_at_ms();
+            let queue = Arc::clone(&job.submission().queue.name);
             log_event!(
-                info, JobRefused, job = %id, queue = %job.submission().queue.name,
-                reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
+                info, JobRefused, job = %id, queue = %queue, reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
                 free_cpu_milli = self.load().free_cpu_milli,
                 largest_free_cpu_milli = self.largest_free(now_ms).cpu_milli
             );
+            self.count_turned_away(&queue, reason);
         }
         self.answer_callers(id, &JobAnswer::Refused { reason, retry_after_ms });
         self.close_job(id, JobPhase::Abandoned, now_ms);
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -9,15 +9,15 @@
     Action, Capacity, Dispatcher, EarlierRuns, JobAnswer, JobId, RefusalReason, RequestId,
     StepSpec, Submission, Target,
     dispatcher::{
-        MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
+        overload::{Plan, ShedJob},
         place::may_start_on,
     },
 };
 
 /// Share of the targets' CPU time that tasks can use, in percent. The rest is lost to
 /// fragmentation.
-const USABLE_CPU_PERCENT: u64 = 85;
+pub(super) const USABLE_CPU_PERCENT: u64 = 85;
 
 /// Time after a takeover or a pause of the process during which jobs are queued even if no target
 /// has sent a listing. Reading the target list and requesting a listing from each target takes this
@@ -29,13 +29,22 @@
 
 /// Minimum `retry_after_ms` of a refusal after which a retry may succeed; also used if the queueing
 /// time is unknown.
-const MIN_RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const MIN_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Expected queueing time of the first and the last task of a job.
+/// Why a job is not admitted.
 #[derive(Clone, Copy, Debug)]
-struct ExpectedWait {
-    first_ms: u64,
-    last_ms: u64,
+struct Refusal {
+    reason: RefusalReason,
+    /// Time after which a retry may succeed; 0 if no retry is suggested.
+    retry_after_ms: u64,
+    /// The inputs of the decision, if the job was weighed against others.
+    shed: Option<ShedJob>,
+}
+
+impl Refusal {
+    const fn new(reason: RefusalReason, retry_after_ms: u64) -> Self {
+        Refusal { reason, retry_after_ms, shed: None }
+    }
 }
 
 impl Dispatcher {
@@ -109,14 +118,15 @@
             + submission.queue.target_latency_ms;
         let job = JobState::new(submission, request, expected_ms, objective_ms, now_ms);
         match self.check_admission(&job, now_ms) {
-            Ok(wait_ms) => {
+            Ok(plan) => {
                 log_job_event!(
                     id.is_sampled(), JobAdmitted, job = %id, queue = %job.submission().queue.name,
-                    objective_ms, wait_ms, tasks = job.tasks.len(), resumed = job.has_started()
+                    objective_ms, wait_ms = plan.arrival_wait_ms, tasks = job.tasks.len(), resumed = job.has_started()
                 );
                 let index = self.jobs.partition_point(|other| other.id() < id);
                 self.jobs.insert(index, job);
                 self.enqueue(id);
+                self.shed_jobs(&plan, now_ms);
                 if self.job(id).is_some_and(JobState::is_completed) {
                     self.finish_job(id, JobAnswer::Completed, now_ms);
                     return;
@@ -125,12 +135,19 @@
                 self.request_awaited_listings(now_ms);
                 self.place_tasks(now_ms);
             }
-            Err((reason, retry_after_ms)) => {
+            Err(Refusal { reason, retry_after_ms, shed }) => {
+                let queue = &job.submission().queue;
                 log_event!(
-                    info, JobRefused, job = %id, queue = %job.submission().queue.name,
-                    reason = ?reason, objective_ms, retry_after_ms,
+                    info, JobRefused, job = %id, queue = %queue.name, reason = ?reason,
+                    objective_ms, retry_after_ms, priority = queue.priority,
+                    cost = shed.map(|shed| shed.cost),
+                    work_cpu_ms = shed.map(|shed| shed.work / 1_000),
+                    shed_for = shed.map(|shed| shed.shed_for.to_string()),
+                    shed_for_cost = shed.map(|shed| shed.shed_for_cost),
+                    start_in_ms = shed.map(|shed| shed.start_in_ms),
                     free_cpu_milli = self.load().free_cpu_milli
                 );
+                self.count_turned_away(&queue.name, reason);
                 let answer = JobAnswer::Refused { reason, retry_after_ms };
                 self.actions.push(Action::Answer { request, answer });
             }
@@ -153,11 +170,10 @@
         self.actions.push(Action::Answer { request, answer });
     }
 
-    /// Returns the expected queueing time of a job, or the reason to refuse it and the time after
-    /// which to retry.
-    fn check_admission(&self, job: &JobState, now_ms: u64) -> Result<u64, (RefusalReason, u64)> {
+    /// Returns the jobs that give way to an arriving job, or why to refuse it.
+    fn check_admission(&self, job: &JobState, now_ms: u64) -> Result<Plan, Refusal> {
         if job.has_started() {
-            return Ok(0);
+            return Ok(Plan::default());
         }
         let is_part = job.submission().part.is_some();
         let service = &job.submission().queue.service;
@@ -166,7 +182,7 @@
         let targets: Vec<&Target> = self.targets.iter().filter(runs_service).collect();
         let has_listing = targets.iter().any(|target| target.has_current_listing());
         if !has_listing && now_ms < self.warm_up_until_ms() && !is_part {
-            return Ok(0);
+            return Ok(Plan::default());
         }
         let fits_local_target =
             |step: &StepSpec| targets.iter().any(|t| t.info().can_run(service, step));
@@ -178,28 +194,29 @@
             let is_served = !targets.is_empty()
                 || self.remote_targets.iter().any(|target| target.service == *service);
             return Err(match is_served {
-                true => (RefusalReason::TooLarge, 0),
-                false => (RefusalReason::NoTargets, MIN_RETRY_AFTER_MS),
+                true => Refusal::new(RefusalReason::TooLarge, 0),
+                false => Refusal::new(RefusalReason::NoTargets, MIN_RETRY_AFTER_MS),
             });
         }
         // A part does not wait, and an earlier owner may have started its tasks.
+        let overloaded = Refusal::new(RefusalReason::Overloaded, MIN_RETRY_AFTER_MS);
         if is_part && !self.are_zone_runs_known(service, now_ms) {
-            return Err((RefusalReason::Overloaded, MIN_RETRY_AFTER_MS));
+            return Err(overloaded);
         }
         if self.has_capacity_for(job, &targets, now_ms) {
-            return Ok(0);
+            return Ok(Plan::default());
         }
         // The queueing time in other zones is not known here.
-        if !job.steps().all(fits_local_target) {
-            return Err((RefusalReason::Overloaded, MIN_RETRY_AFTER_MS));
+        if is_part || !job.steps().all(fits_local_target) {
+            return Err(overloaded);
         }
-        let wait = self.expected_wait(job);
-        let starts_in_time =
-            now_ms + wait.first_ms <= job.queue_deadline_ms(MAX_QUEUE_TIME_PERCENT);
-        let ends_in_time = now_ms + wait.last_ms <= job.latest_start_ms();
-        match starts_in_time && ends_in_time && !is_part {
-            true => Ok(wait.last_ms),
-            false => Err((RefusalReason::Overloaded, wait.last_ms.max(MIN_RETRY_AFTER_MS))),
+        let plan = self.plan(service, Some(job), now_ms);
+        match plan.shed.iter().find(|shed| shed.job == job.id()) {
+            None => Ok(plan),
+            Some(shed) => {
+                let retry_after_ms = plan.arrival_wait_ms.max(MIN_RETRY_AFTER_MS);
+                Err(Refusal { retry_after_ms, shed: Some(*shed), ..overloaded })
+            }
         }
     }
 
@@ -207,7 +224,12 @@
     /// others.
     ///
     /// Queued jobs are not considered, since capacity that is free now does not fit their tasks.
-    fn has_capacity_for(&self, job: &JobState, targets: &[&Target], now_ms: u64) -> bool {
+    pub(super) fn has_capacity_for(
+        &self,
+        job: &JobState,
+        targets: &[&Target],
+        now_ms: u64,
+    ) -> bool {
         let usable = targets.iter().filter(|target| may_start_on(target, job, now_ms));
         let mut free: Vec<(&Target, Capacity)> =
             usable.map(|target| (*target, target.free())).collect();
@@ -241,26 +263,10 @@
         }
     }
 
-    /// Returns the expected queueing time of the first and the last task of a job.
-    fn expected_wait(&self, job: &JobState) -> ExpectedWait {
-        let entry = job.queue_entry();
-        let ahead = self.queue.iter().take_while(|ahead| ahead.priority <= entry.priority);
-        let ahead_work = ahead.filter_map(|ahead| self.job(ahead.job)).map(JobState::waiting_work);
-        let ahead_work = ahead_work.fold(0, u64::saturating_add);
-        let load = self.load();
-        let rate = (load.total_cpu_milli * USABLE_CPU_PERCENT / 100).max(1);
-        // Work is in thousandths of a core times ms; the free CPU absorbs work for as long as the
-        // job's longest task is expected to run.
-        let longest_ms = job.expected_ms.iter().max().copied().unwrap_or(0);
-        let free_work = load.free_cpu_milli.saturating_mul(longest_ms);
-        ExpectedWait {
-            first_ms: ahead_work.saturating_sub(free_work) / rate,
-            last_ms: ahead_work.saturating_add(job.waiting_work()).saturating_sub(free_work) / rate,
-        }
-    }
-
+    /// Returns the time after which a retry of a queued job may succeed: the work up to its last task
+    /// has started by then.
     pub(super) fn retry_after_ms(&self, id: JobId) -> u64 {
-        let wait_ms = self.job(id).map_or(0, |job| self.expected_wait(job).last_ms);
+        let wait_ms = self.job(id).map_or(0, |job| self.expected_wait_ms(job));
         wait_ms.max(MIN_RETRY_AFTER_MS)
     }
 }
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -9,6 +9,7 @@
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
+        queue_entry::Lateness,
     },
 };
 
@@ -56,6 +57,7 @@
         self.defer_late(now_ms);
         self.request_awaited_listings(now_ms);
         self.place_tasks(now_ms);
+        self.shed_overload(now_ms);
         for target in &mut self.targets {
             target.prune_recent_ends(now_ms);
         }
@@ -219,16 +221,18 @@
         }
     }
 
-    /// Moves jobs that can no longer meet their objective behind those that can.
+    /// Moves jobs that can no longer meet their objective behind those that can, unless they need only
+    /// little more work.
     fn defer_late(&mut self, now_ms: u64) {
-        let on_time = self.queue.iter().filter(|entry| !entry.is_late);
-        let jobs = on_time.filter_map(|entry| self.job(entry.job));
-        let late: Vec<JobId> =
-            jobs.filter(|job| now_ms > job.latest_start_ms()).map(JobState::id).collect();
-        for id in late {
+        let jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
+        let lateness = jobs.map(|job| (job, job.lateness_at(now_ms)));
+        let changed = lateness.filter(|(job, lateness)| job.lateness() != *lateness);
+        let changed: Vec<(JobId, Lateness)> =
+            changed.map(|(job, lateness)| (job.id(), lateness)).collect();
+        for (id, lateness) in changed {
             self.dequeue(id);
             if let Some(job) = self.job_mut(id) {
-                job.set_late();
+                job.set_lateness(lateness);
             }
             self.enqueue(id);
         }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -4,9 +4,16 @@
 
 use crate::{
     EarlierRuns, JobId, LEASE_EXPIRY_MS, Run, StepSpec, Submission, TaskId,
-    dispatcher::{QueueEntry, RequestId},
+    dispatcher::{
+        RequestId,
+        queue_entry::{Lateness, QueueEntry},
+    },
 };
 
+/// Maximum share of a late job's work that may be left for it to keep its place in the queue, in
+/// percent. Moved back, such a job waited until its caller gave up, and all its work was lost.
+const KEEPS_PLACE_PERCENT: u64 = 20;
+
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum JobPhase {
@@ -76,7 +83,7 @@
     /// First target on which a task of the job failed.
     pub(super) first_failed_target: Option<Arc<str>>,
     waiting_tasks: usize,
-    is_late: bool,
+    lateness: Lateness,
 }
 
 impl JobState {
@@ -106,7 +113,7 @@
             caller_checked_at_ms: submission.caller_checked_at_ms(now_ms),
             has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
-            is_late: false,
+            lateness: Lateness::InTime,
             submission,
             requests: vec![request],
             tasks,
@@ -247,13 +254,44 @@
         self.caller_deadline_ms
     }
 
-    pub(super) const fn set_late(&mut self) {
-        self.is_late = true;
+    pub(super) const fn lateness(&self) -> Lateness {
+        self.lateness
+    }
+
+    /// Sets the lateness, which is part of the queue position.
+    pub(super) const fn set_lateness(&mut self, lateness: Lateness) {
+        self.lateness = lateness;
+    }
+
+    /// Returns the lateness at `now_ms`.
+    pub(super) fn lateness_at(&self, now_ms: u64) -> Lateness {
+        match now_ms > self.latest_start_ms() {
+            false => Lateness::InTime,
+            true if self.waiting_work() <= self.total_work() / 100 * KEEPS_PLACE_PERCENT => {
+                Lateness::InTime
+            }
+            true if self.has_started => Lateness::LateStarted,
+            true => Lateness::LateUnstarted,
+        }
+    }
+
+    /// Returns whether the job may be refused in favour of others: no task of it has started, here or
+    /// in another zone, and it is no part.
+    pub(super) fn may_be_shed(&self) -> bool {
+        self.phase == JobPhase::Open
+            && !self.has_started
+            && self.submission.part.is_none()
+            && !self.has_offloaded()
+    }
+
+    /// Returns the expected run time of the longest task, in ms.
+    pub(super) fn longest_ms(&self) -> u64 {
+        self.expected_ms.iter().max().copied().unwrap_or(0)
     }
 
     pub(super) fn queue_entry(&self) -> QueueEntry {
         QueueEntry {
-            is_late: self.is_late,
+            lateness: self.lateness,
             priority: self.submission.queue.priority,
             received_at_ms: self.received_at_ms,
             job: self.id(),
@@ -274,11 +312,18 @@
 
     /// Returns the expected work of all waiting tasks, in thousandths of a core times ms.
     pub(super) fn waiting_work(&self) -> u64 {
-        let work = |task: &TaskEntry| {
-            let expected_ms = self.expected_ms[usize::from(task.id.step)];
-            self.step(task.id).demand.cpu_milli.saturating_mul(expected_ms)
-        };
-        self.waiting_entries().map(work).fold(0, u64::saturating_add)
+        let work = self.waiting_entries().map(|task| self.work_of(task));
+        work.fold(0, u64::saturating_add)
+    }
+
+    /// Returns the expected work of all tasks, in thousandths of a core times ms.
+    fn total_work(&self) -> u64 {
+        self.tasks.iter().map(|task| self.work_of(task)).fold(0, u64::saturating_add)
+    }
+
+    fn work_of(&self, task: &TaskEntry) -> u64 {
+        let expected_ms = self.expected_ms[usize::from(task.id.step)];
+        self.step(task.id).demand.cpu_milli.saturating_mul(expected_ms)
     }
 
     /// Returns whether all steps that `task` depends on are done.
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -163,6 +163,8 @@
         let run = Run { task: task.id, number: task.last_run_number + 1 };
         let demand = job.step(task.id).demand;
         let expected_ms = job.expected_ms[usize::from(task.id.step)];
+        let work = demand.cpu_milli.saturating_mul(expected_ms);
+        self.recent_work.add(&job.submission().queue, work, now_ms);
         let target = &mut self.targets[target_index];
         let valid_until_clock_ms = target.reserve(run, demand, expected_ms, now_ms);
         let target_id = Arc::clone(&target.info().id);
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -391,6 +391,8 @@
     NoTargets,
     /// Too much work is queued for the job to meet its objective.
     Overloaded,
+    /// The job was queued, and gave way to one whose refusal would cost more.
+    Displaced,
     /// No task of the job started within the maximum queueing time.
     StillQueued,
     /// The process is shutting down; no dispatcher gives this reason.
--- a/crates/placement/tests/simulation/shapes.rs
+++ b/crates/placement/tests/simulation/shapes.rs
@@ -44,3 +44,12 @@
     fails: false,
     crashes: false,
 };
+
+/// Urgent kind of a customer under heavy load, see `docs/hard-load.md`.
+pub const URGENT: JobShape = JobShape { cpu_milli: 16_000, work_ms: 60, ..SLOT_CHECK };
+
+/// Frequent kind of the same customer.
+pub const FREQUENT: JobShape = JobShape { cpu_milli: 16_000, work_ms: 200, ..CONFIRM };
+
+/// Rare, long kind of the same customer.
+pub const LONG: JobShape = JobShape { cpu_milli: 16_000, work_ms: 900, ..QUOTE };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -108,6 +108,8 @@
     RequestCutOff = 612,
     /// A started job can't complete before its caller's deadline; it is answered and stopped.
     JobGivenUp = 613,
+    /// A queued job was refused before any of its tasks was started, so that the job in `shed_for` starts in time; the fields contain the inputs of the decision.
+    JobDisplaced = 614,
     /// A request to start a run of a task is sent to a target.
     TaskStarted = 620,
     /// A target did not start a run; the task is queued again.
