--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -404,7 +404,7 @@
             let queue = Arc::clone(&job.submission().queue.name);
             log_event!(
                 info, JobRefused, job = %id, queue = %queue, reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
-                free_cpu_milli = self.load().free_cpu_milli,
+                free_cpu_milli = self.free_cpu_milli(),
                 largest_free_cpu_milli = self.largest_free(now_ms).cpu_milli
             );
             self.count_turned_away(&queue, reason);
--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -144,8 +144,10 @@
                     work_cpu_ms = shed.map(|shed| shed.work / 1_000),
                     shed_for = shed.map(|shed| shed.shed_for.to_string()),
                     shed_for_cost = shed.map(|shed| shed.shed_for_cost),
+                    late = shed.map(|shed| shed.late.to_string()),
                     start_in_ms = shed.map(|shed| shed.start_in_ms),
-                    free_cpu_milli = self.load().free_cpu_milli
+                    excess_cpu_ms = shed.map(|shed| shed.excess_work / 1_000),
+                    free_cpu_milli = self.free_cpu_milli()
                 );
                 self.count_turned_away(&queue.name, reason);
                 let answer = JobAnswer::Refused { reason, retry_after_ms };
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -37,10 +37,6 @@
 /// Interval at which a stop request is repeated.
 const STOP_RETRY_INTERVAL_MS: u64 = 100;
 
-/// Minimum actual run time of a task as a share of its expected run time, in percent. Callers'
-/// estimates are off by up to 40%, and run times spread as much.
-const MIN_RUN_PERCENT: u64 = 50;
-
 /// Time for which the answer of a finished job is cached for repeated submissions.
 const ANSWER_RETENTION_MS: u64 = 15_000;
 
@@ -199,21 +195,14 @@
     }
 
     /// Gives up jobs that have started but whose waiting tasks cannot end before the caller's
-    /// deadline, even if they started now.
+    /// deadline, even if they took the least time after the wait for the work ahead of them.
     fn give_up_unreachable_deadlines(&mut self, now_ms: u64) {
-        let misses_deadline = |job: &JobState| {
-            let may_give_up = job.phase() == JobPhase::Open && job.submission().part.is_none();
-            let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
-            may_give_up && job.has_started() && now_ms + min_remaining_ms > job.caller_deadline_ms()
-        };
-        let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
-        let unfinishable: Vec<JobId> =
-            queued_jobs.filter(|job| misses_deadline(job)).map(JobState::id).collect();
-        for id in unfinishable {
+        for (id, wait_ahead_ms) in self.unreachable_deadlines(now_ms) {
             if let Some(job) = self.job(id) {
                 log_event!(
                     info, JobGivenUp, job = %id, waited_ms = now_ms - job.received_at_ms(),
-                    deadline_ms = job.submission().deadline_ms, tasks = job.waiting_tasks()
+                    deadline_ms = job.submission().deadline_ms, tasks = job.waiting_tasks(),
+                    wait_ahead_ms, lateness = ?job.lateness()
                 );
             }
             self.answer_callers(id, &JobAnswer::GivenUp);
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -83,6 +83,8 @@
     /// First target on which a task of the job failed.
     pub(super) first_failed_target: Option<Arc<str>>,
     waiting_tasks: usize,
+    /// Expected work of the waiting tasks. The plan of the queue reads it at each arrival.
+    waiting_work: u64,
     lateness: Lateness,
 }
 
@@ -113,6 +115,7 @@
             caller_checked_at_ms: submission.caller_checked_at_ms(now_ms),
             has_started: submission.earlier_runs != EarlierRuns::None,
             waiting_tasks: tasks.len(),
+            waiting_work: 0,
             lateness: Lateness::InTime,
             submission,
             requests: vec![request],
@@ -126,6 +129,7 @@
         for (step, index) in job.submission.excluded_tasks.clone() {
             job.set_done(TaskId { job: job.id(), occurrence: 0, step, index });
         }
+        job.update_waiting_work();
         job
     }
 
@@ -311,9 +315,13 @@
     }
 
     /// Returns the expected work of all waiting tasks, in thousandths of a core times ms.
-    pub(super) fn waiting_work(&self) -> u64 {
+    pub(super) const fn waiting_work(&self) -> u64 {
+        self.waiting_work
+    }
+
+    fn update_waiting_work(&mut self) {
         let work = self.waiting_entries().map(|task| self.work_of(task));
-        work.fold(0, u64::saturating_add)
+        self.waiting_work = work.fold(0, u64::saturating_add);
     }
 
     /// Returns the expected work of all tasks, in thousandths of a core times ms.
@@ -347,6 +355,7 @@
         task.last_run_number = task.last_run_number.max(run.number);
         task.state = TaskState::Assigned { target, run };
         self.has_started = true;
+        self.update_waiting_work();
     }
 
     /// Marks a task as done. Returns its previous state, unless it was already done.
@@ -358,6 +367,7 @@
             TaskState::Waiting => self.waiting_tasks -= 1,
             TaskState::Assigned { .. } | TaskState::Offloaded { .. } => {}
         }
+        self.update_waiting_work();
         Some(previous)
     }
 
@@ -389,6 +399,7 @@
             task.failures += 1;
             task.avoided_target = Some(target_id.into());
         }
+        self.update_waiting_work();
         true
     }
 
@@ -465,6 +476,7 @@
             self.tasks[*index].state = TaskState::Offloaded { part };
         }
         self.waiting_tasks -= tasks.len();
+        self.update_waiting_work();
         let others = self.tasks.iter().enumerate().filter(|(index, _)| !tasks.contains(index));
         Submission {
             earlier_runs: EarlierRuns::None,
@@ -493,6 +505,7 @@
                 _ => {}
             }
         }
+        self.update_waiting_work();
     }
 
     /// Records that tasks of the job may have run.
--- a/crates/placement/src/dispatcher/overload.rs
+++ b/crates/placement/src/dispatcher/overload.rs
@@ -27,6 +27,10 @@
 /// urgent ones, in percent.
 const MIN_RATE_PERCENT: u64 = 10;
 
+/// Minimum actual run time of a task as a share of its expected run time, in percent. Callers'
+/// estimates are off by up to 40%, and run times spread as much.
+const MIN_RUN_PERCENT: u64 = 50;
+
 /// A job that is shed, with the inputs of the decision.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ShedJob {
@@ -35,12 +39,17 @@
     pub(super) cost: f64,
     /// Remaining work, in thousandths of a core times ms.
     pub(super) work: u64,
-    /// The job that would start too late, which can be the same one.
+    /// The job that starts in time or is admitted instead; the same one if the job could not start in
+    /// time anyway.
     pub(super) shed_for: JobId,
     /// Cost of that job in the unit of `cost`.
     pub(super) shed_for_cost: f64,
+    /// The job that would have started too late; it is `shed_for` or `job`.
+    pub(super) late: JobId,
     /// Time from now at which that job was expected to start.
     pub(super) start_in_ms: u64,
+    /// Work ahead of that job beyond what lets it start in time.
+    pub(super) excess_work: u64,
 }
 
 impl ShedJob {
@@ -68,6 +77,8 @@
 struct PlannedJob<'a> {
     job: &'a JobState,
     work: u64,
+    /// Index of its queue among those of the plan.
+    queue: usize,
     /// Cost of shedding the job, per unit of its remaining work.
     cost: f64,
     is_late: bool,
@@ -115,15 +126,25 @@
     usable_cpu_milli: u64,
 }
 
+/// Returns the rate at which work was started recently that would start before a job's.
+fn rate_ahead_of(job: &JobState, rates: &[(u8, f64)]) -> u64 {
+    let priority = job.submission().queue.priority;
+    let is_late = job.lateness() != Lateness::InTime;
+    let ahead = rates.iter().filter(|(other, _)| is_late || *other < priority);
+    ahead.map(|(_, rate)| rate).sum::<f64>() as u64
+}
+
 impl ServiceCapacity {
     /// Returns the rate at which capacity becomes free for a job, where `rates` are those at which work
     /// was started recently: work of more urgent jobs that arrive later starts before it.
     fn rate_for(&self, job: &JobState, rates: &[(u8, f64)]) -> u64 {
-        let priority = job.submission().queue.priority;
-        let more_urgent = rates.iter().take_while(|(other, _)| *other < priority);
-        let taken: f64 = more_urgent.map(|(_, rate)| rate).sum();
         let least = self.rate * MIN_RATE_PERCENT / 100;
-        self.rate.saturating_sub(taken as u64).max(least).max(1)
+        self.rate.saturating_sub(rate_ahead_of(job, rates)).max(least).max(1)
+    }
+
+    /// Returns the highest rate at which capacity can become free for a job, all else aside.
+    fn highest_rate(&self) -> u64 {
+        (self.rate * 100 / USABLE_CPU_PERCENT).max(1)
     }
 }
 
@@ -161,7 +182,9 @@
                 work_cpu_ms = shed.work / 1_000, waited_ms = now_ms - job.received_at_ms(),
                 shed_for = %shed.shed_for,
                 shed_for_queue = shed_for.map(|job| job.submission().queue.name.as_ref()),
-                shed_for_cost = shed.shed_for_cost, start_in_ms = shed.start_in_ms, retry_after_ms,
+                shed_for_cost = shed.shed_for_cost, late = %shed.late,
+                start_in_ms = shed.start_in_ms, excess_cpu_ms = shed.excess_work / 1_000,
+                retry_after_ms,
                 free_cpu_milli = plan.free_cpu_milli
             );
             self.count_turned_away(&queue, reason);
@@ -202,11 +225,16 @@
                 || self.targets.iter().all(is_known))
     }
 
+    /// Returns the free CPU time on healthy targets, in thousandths of a core.
+    pub(super) fn free_cpu_milli(&self) -> u64 {
+        let healthy = self.targets.iter().filter(|target| target.is_healthy());
+        healthy.map(|target| target.free().cpu_milli).sum()
+    }
+
     fn capacity_of(&self, service: &str) -> ServiceCapacity {
         let mut capacity = ServiceCapacity::default();
         let task_cpu_milli = self.average_cpu_milli.max(1);
-        let targets = self.targets.iter().filter(|target| *target.info().service == *service);
-        for target in targets.filter(|target| target.is_healthy()) {
+        for target in self.targets_of(service).filter(|target| target.is_healthy()) {
             let free_cpu_milli = target.free().cpu_milli;
             capacity.rate += target.info().capacity.cpu_milli;
             capacity.free_cpu_milli += free_cpu_milli;
@@ -224,7 +252,7 @@
         now_ms: u64,
     ) -> Vec<PlannedJob<'a>> {
         let mut planned: Vec<PlannedJob> = Vec::with_capacity(self.queue.len() + 1);
-        // Queue, its waiting work and then its weight per unit of work, sorted by queue.
+        // Queue and its waiting work, later its share of all work; sorted by queue.
         let mut queues: Vec<(&str, f64)> = Vec::new();
         let arrival_index = arrival
             .map(JobState::queue_entry)
@@ -235,14 +263,23 @@
         let jobs = before.chain(arrival).chain(after);
         for job in jobs.filter(|job| *job.submission().queue.service == *service) {
             let work = job.waiting_work();
-            let queue = job.submission().queue.name.as_ref();
-            match queues.binary_search_by(|(name, _)| (*name).cmp(queue)) {
-                Ok(index) => queues[index].1 += work as f64,
-                Err(index) => queues.insert(index, (queue, work as f64)),
-            }
+            let name = job.submission().queue.name.as_ref();
+            let queue = match planned.last().map(|last| last.queue) {
+                Some(last) if queues[last].0 == name => last,
+                _ => queues.binary_search_by(|(other, _)| (*other).cmp(name)).unwrap_or_else(
+                    |index| {
+                        queues.insert(index, (name, 0.0));
+                        let moved = planned.iter_mut().filter(|other| other.queue >= index);
+                        moved.for_each(|other| other.queue += 1);
+                        index
+                    },
+                ),
+            };
+            queues[queue].1 += work as f64;
             planned.push(PlannedJob {
                 job,
                 work,
+                queue,
                 cost: 0.0,
                 is_late: job.lateness() != Lateness::InTime,
                 may_be_shed: job.may_be_shed(),
@@ -254,16 +291,56 @@
             *work = ((self.recent_work.of_queue(queue, now_ms) + *work) / total).max(MIN_SHARE);
         }
         for planned_job in &mut planned {
-            let queue = &planned_job.job.submission().queue;
-            let share = queues
-                .binary_search_by(|(name, _)| (*name).cmp(queue.name.as_ref()))
-                .map_or(MIN_SHARE, |index| queues[index].1);
+            let (_, share) = queues[planned_job.queue];
+            let priority = planned_job.job.submission().queue.priority;
             let late_factor = if planned_job.is_late { LATE_FACTOR } else { 1.0 };
-            planned_job.cost = late_factor / (1.0 + f64::from(queue.priority)) / share;
+            planned_job.cost = late_factor / (1.0 + f64::from(priority)) / share;
         }
         planned
     }
 
+    /// Returns the started jobs whose waiting tasks cannot end before the deadlines of their callers, with
+    /// the wait for the work ahead of each.
+    pub(super) fn unreachable_deadlines(&self, now_ms: u64) -> Vec<(JobId, u64)> {
+        // Service, its capacity and the work ahead, sorted by service.
+        let mut services: Vec<(&str, ServiceCapacity, u64)> = Vec::new();
+        let mut unreachable: Vec<(JobId, u64)> = Vec::new();
+        for job in self.queue.iter().filter_map(|entry| self.job(entry.job)) {
+            let service = job.submission().queue.service.as_ref();
+            let index = services.binary_search_by(|(name, ..)| (*name).cmp(service));
+            let index = index.unwrap_or_else(|index| {
+                services.insert(index, (service, self.capacity_of(service), 0));
+                index
+            });
+            let (_, capacity, ahead_work) = &mut services[index];
+            let free_work = capacity.usable_cpu_milli.saturating_mul(job.longest_ms());
+            let wait_ahead_ms = match capacity.rate {
+                0 => 0,
+                // Work that arrives later is not counted: it made the wait seem so long that jobs were
+                // given up which would have ended in time.
+                _ => ahead_work.saturating_sub(free_work) / capacity.highest_rate(),
+            };
+            let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
+            let may_give_up = job.phase() == JobPhase::Open
+                && job.submission().part.is_none()
+                && job.has_started();
+            let deadline_ms = job.caller_deadline_ms();
+            let is_unreachable = now_ms + wait_ahead_ms + min_remaining_ms > deadline_ms
+                && (now_ms + min_remaining_ms > deadline_ms
+                    || !self.has_capacity_for(
+                        job,
+                        &self.targets_of(service).collect::<Vec<_>>(),
+                        now_ms,
+                    ));
+            if may_give_up && is_unreachable {
+                unreachable.push((job.id(), wait_ahead_ms));
+                continue;
+            }
+            *ahead_work = ahead_work.saturating_add(job.waiting_work());
+        }
+        unreachable
+    }
+
     /// Returns the expected queueing time of the last task of a queued job.
     pub(super) fn expected_wait_ms(&self, job: &JobState) -> u64 {
         let entry = job.queue_entry();
@@ -283,13 +360,17 @@
     /// shed until it starts in time, or the job itself, whichever costs less.
     pub(super) fn plan(&self, service: &str, arrival: Option<&JobState>, now_ms: u64) -> Plan {
         let capacity = self.capacity_of(service);
+        // Without any healthy target the wait is not known; most such losses of contact are short.
+        if capacity.rate == 0 && arrival.is_none() {
+            return Plan::default();
+        }
         let rates = self.recent_work.rates_by_priority(now_ms);
-        let targets: Vec<&Target> =
-            self.targets.iter().filter(|target| *target.info().service == *service).collect();
+        let targets: Vec<&Target> = self.targets_of(service).collect();
         let planned = self.planned_jobs(service, arrival, now_ms);
         let arrival_id = arrival.map(JobState::id);
         let mut plan = Plan { free_cpu_milli: capacity.free_cpu_milli, ..Plan::default() };
         let mut candidates: BinaryHeap<Candidate> = BinaryHeap::new();
+        let mut arrival_candidate: Option<Candidate> = None;
         let mut ahead_work: u64 = 0;
         for index in 0..planned.len() {
             let PlannedJob { job, work, cost, may_be_shed, .. } = planned[index];
@@ -302,6 +383,9 @@
             }
             let candidate =
                 Candidate { cost, received_at_ms: job.received_at_ms(), id: job.id(), index };
+            if is_arrival {
+                arrival_candidate = Some(candidate);
+            }
             let work_until = |until_ms: u64| {
                 let until_in_ms = until_ms.saturating_sub(now_ms);
                 free_work.saturating_add(until_in_ms.saturating_mul(rate))
@@ -316,7 +400,7 @@
             };
             let excess_work = match max_ahead_work {
                 Some(max_work) => ahead_work.saturating_sub(max_work),
-                None => u64::MAX,
+                None => ahead_work.saturating_add(work).max(1),
             };
             if !may_be_shed || excess_work == 0 {
                 if may_be_shed {
@@ -353,20 +437,23 @@
                     None => is_itself_shed = true,
                 }
             }
-            let shed_for = |other: &Candidate| ShedJob {
+            let shed_for = |other: &Candidate, instead: &Candidate| ShedJob {
                 job: other.id,
                 cost: other.cost,
                 work: planned[other.index].work,
-                shed_for: job.id(),
-                shed_for_cost: cost,
+                shed_for: instead.id,
+                shed_for_cost: instead.cost,
+                late: job.id(),
                 start_in_ms,
+                excess_work,
             };
             if is_itself_shed {
                 candidates.extend(victims);
-                plan.shed.push(shed_for(&candidate));
+                // A queued job was expected to start in time before the arrival came ahead of it.
+                plan.shed.push(shed_for(&candidate, &arrival_candidate.unwrap_or(candidate)));
                 continue;
             }
-            plan.shed.extend(victims.iter().map(shed_for));
+            plan.shed.extend(victims.iter().map(|victim| shed_for(victim, &candidate)));
             ahead_work = ahead_work - freed_work + work;
             candidates.push(candidate);
         }
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -124,7 +124,7 @@
                 && targets.all(|target| target.has_current_listing() || target.is_silent()))
     }
 
-    fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
+    pub(super) fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
         self.targets.iter().filter(move |target| *target.info().service == *service)
     }
 
--- a/crates/placement/tests/harness/mod.rs
+++ b/crates/placement/tests/harness/mod.rs
@@ -287,6 +287,25 @@
     }
 }
 
+/// Returns a job of `tasks` tasks of 14 cores for 100 ms in a queue of its own for each priority.
+pub fn job_of_priority(id: &str, priority: u8, tasks: u16) -> Submission {
+    job_of_queue(id, &format!("queue-{priority}"), priority, tasks)
+}
+
+pub fn job_of_queue(id: &str, queue: &str, priority: u8, tasks: u16) -> Submission {
+    let mut submission = job(id, vec![step(tasks)]);
+    submission.queue.name = queue.into();
+    submission.queue.priority = priority;
+    // The objective is 460 ms and the limit for the start 161 ms, which are 1.3 tasks of 14 cores at the
+    // rate of 16 cores.
+    submission.queue.stretch = 4.0;
+    submission
+}
+
+pub fn id_of(number: u64) -> String {
+    format!("{number:016x}")
+}
+
 pub fn run(index: u16, number: u32) -> Run {
     Run { task: format!("{JOB}.0.0.{index}").parse().expect("`JOB` is a valid job id"), number }
 }
