--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -10,7 +10,10 @@
 mod listings;
 mod load;
 mod losses;
+mod overload;
 mod place;
+mod queue_entry;
+mod recent_work;
 mod renewal;
 mod selection;
 mod speeds;
@@ -27,6 +30,8 @@
         evacuation::EvacuatedZones,
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
+        queue_entry::QueueEntry,
+        recent_work::RecentWork,
         speeds::SpeedComparison,
     },
 };
@@ -100,31 +105,9 @@
     lost_runs: u64,
     target_losses: TargetLosses,
     evacuated_zones: EvacuatedZones,
-}
-
-/// Position of a job in the queue, with what shows cheaply that none of its tasks can start.
-#[derive(Clone, Copy, Debug)]
-struct QueueEntry {
-    position: QueuePosition,
-    /// Smallest CPU demand of a task of the job.
-    min_cpu_milli: u64,
-}
-
-/// Queue position of a job; the order of the fields is the scheduling order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct QueuePosition {
-    /// `true` if the job can no longer meet its objective. Such jobs are scheduled after all
-    /// others.
-    is_late: bool,
-    priority: u8,
-    received_at_ms: u64,
-    job: JobId,
-}
-
-impl QueueEntry {
-    const fn job(&self) -> JobId {
-        self.position.job
-    }
+    recent_work: RecentWork,
+    /// Numbers of refused jobs by queue and reason since [`Dispatcher::take_turned_away`].
+    turned_away: Vec<(Arc<str>, RefusalReason, u64)>,
 }
 
 impl Dispatcher {
@@ -156,6 +139,8 @@
             lost_runs: 0,
             target_losses: TargetLosses::new(),
             evacuated_zones: EvacuatedZones::new(),
+            recent_work: RecentWork::new(now_ms),
+            turned_away: Vec::new(),
         }
     }
 
@@ -408,12 +393,13 @@
     fn refuse_job(&mut self, id: JobId, reason: RefusalReason, retry_after_ms: u64, now_ms: u64) {
         if let Some(job) = self.job(id) {
             let waited_ms = now_ms - job.received_at_ms();
+            let queue = Arc::clone(&job.submission().queue.name);
             log_event!(
-                info, JobRefused, job = %id, queue = %job.submission().queue.name,
-                reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
-                free_cpu_milli = self.load().free_cpu_milli,
+                info, JobRefused, job = %id, queue = %queue, reason = ?reason, objective_ms = job.objective_ms(), waited_ms, retry_after_ms,
+                free_cpu_milli = self.free_cpu_milli(),
                 largest_free_cpu_milli = self.largest_free(now_ms).cpu_milli
             );
+            self.count_turned_away(&queue, reason);
         }
         self.answer_callers(id, &JobAnswer::Refused { reason, retry_after_ms });
         self.close_job(id, JobPhase::Abandoned, now_ms);
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -9,6 +9,8 @@
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
+        overload::MIN_RUN_PERCENT,
+        queue_entry::Lateness,
     },
 };
 
@@ -36,10 +38,6 @@
 /// Interval at which a stop request is repeated.
 const STOP_RETRY_INTERVAL_MS: u64 = 100;
 
-/// Minimum actual run time of a task as a share of its expected run time, in percent. Callers'
-/// estimates are off by up to 40%, and run times spread as much.
-const MIN_RUN_PERCENT: u64 = 50;
-
 /// Time before its caller's deadline at which a job that has not started is refused, so that the answer
 /// reaches the caller: a tick and an exchange between processes usually take 10 ms.
 const ANSWER_MARGIN_MS: u64 = 50;
@@ -62,6 +60,7 @@
         self.request_awaited_listings(now_ms);
         self.place_tasks(now_ms);
         self.hand_back_evacuated(now_ms);
+        self.shed_overload(now_ms);
         for target in &mut self.targets {
             target.prune_recent_ends(now_ms);
         }
@@ -228,28 +227,15 @@
     }
 
     /// Gives up jobs that have started, here or in another zone, but whose waiting tasks cannot end
-    /// before the caller's deadline, even if they started as soon as they may.
+    /// before the caller's deadline, even if they took the least time after the wait for the work ahead
+    /// of them and for earlier runs.
     fn give_up_unreachable_deadlines(&mut self, now_ms: u64) {
-        let misses_deadline = |job: &JobState| {
-            let may_give_up = job.is_queued()
-                && job.submission().part.is_none()
-                && (job.has_started() || job.has_offloaded());
-            let start_ms = self.earliest_start_ms(job, now_ms);
-            let misses_deadline = |remaining_ms: u64| {
-                start_ms + remaining_ms * MIN_RUN_PERCENT / 100 > job.caller_deadline_ms()
-            };
-            // The sum over all steps is an upper bound of the critical path that needs no search.
-            may_give_up
-                && misses_deadline(job.expected_ms.iter().sum())
-                && misses_deadline(job.waiting_critical_path_ms())
-        };
-        let unfinishable: Vec<JobId> =
-            self.jobs.iter().filter(|job| misses_deadline(job)).map(JobState::id).collect();
-        for id in unfinishable {
+        for (id, wait_ahead_ms) in self.unreachable_deadlines(now_ms) {
             if let Some(job) = self.job(id) {
                 log_event!(
                     info, JobGivenUp, job = %id, waited_ms = now_ms - job.received_at_ms(),
-                    deadline_ms = job.submission().deadline_ms, tasks = job.waiting_tasks()
+                    deadline_ms = job.submission().deadline_ms, tasks = job.waiting_tasks(),
+                    wait_ahead_ms, lateness = ?job.lateness()
                 );
             }
             self.answer_callers(id, &JobAnswer::GivenUp);
@@ -257,15 +243,18 @@
         }
     }
 
-    /// Moves jobs that can no longer meet their objective behind those that can.
+    /// Moves jobs that can no longer meet their objective behind those that can, unless they need only
+    /// little more work.
     fn defer_late(&mut self, now_ms: u64) {
-        let is_newly_late =
-            |job: &&JobState| job.is_queued() && !job.is_late() && job.misses_objective(now_ms);
-        let late: Vec<JobId> = self.jobs.iter().filter(is_newly_late).map(JobState::id).collect();
-        for id in late {
+        let queued = self.jobs.iter().filter(|job| job.is_queued());
+        let lateness = queued.map(|job| (job, job.lateness_at(now_ms)));
+        let changed = lateness.filter(|(job, lateness)| job.lateness() != *lateness);
+        let changed: Vec<(JobId, Lateness)> =
+            changed.map(|(job, lateness)| (job.id(), lateness)).collect();
+        for (id, lateness) in changed {
             self.dequeue(id);
             if let Some(job) = self.job_mut(id) {
-                job.set_late();
+                job.set_lateness(lateness);
             }
             self.enqueue(id);
         }
--- a/crates/placement/src/dispatcher/evacuation.rs
+++ b/crates/placement/src/dispatcher/evacuation.rs
@@ -10,8 +10,9 @@
 use crate::{
     Dispatcher, JobAnswer, JobId, PartOutcome, RefusalReason, Target,
     dispatcher::{
-        admission::MIN_RETRY_AFTER_MS,
+        admission::{MIN_RETRY_AFTER_MS, Refusal},
         job_state::{JobPhase, JobState},
+        overload::Plan,
     },
 };
 
@@ -88,10 +89,10 @@
         &self,
         job: &JobState,
         now_ms: u64,
-    ) -> Result<u64, (RefusalReason, u64)> {
+    ) -> Result<Plan, Refusal> {
         match job.submission().part {
-            None if self.has_remote_capacity_for(job, now_ms) => Ok(0),
-            _ => Err((RefusalReason::Evacuated, MIN_RETRY_AFTER_MS)),
+            None if self.has_remote_capacity_for(job, now_ms) => Ok(Plan::default()),
+            _ => Err(Refusal::new(RefusalReason::Evacuated, MIN_RETRY_AFTER_MS)),
         }
     }
 
--- a/crates/placement/src/dispatcher/place.rs
+++ b/crates/placement/src/dispatcher/place.rs
@@ -145,7 +145,7 @@
                 && targets.all(|target| target.has_current_listing() || target.is_silent()))
     }
 
-    fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
+    pub(super) fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
         self.targets.iter().filter(move |target| *target.info().service == *service)
     }
 
@@ -170,6 +170,8 @@
         let run = Run { task: task.id, number: task.last_run_number + 1 };
         let demand = job.step(task.id).demand;
         let expected_ms = job.expected_ms[usize::from(task.id.step)];
+        let work = demand.cpu_milli.saturating_mul(expected_ms);
+        self.recent_work.add(&job.submission().queue, work, now_ms);
         let target = &mut self.targets[target_index];
         let valid_until_clock_ms = target.reserve(run, demand, run_ms, now_ms);
         target.set_reference_ms(run, reference_ms);
