Draw bursts of jobs and slow targets in the soak

Cause: the soak had no burst of one kind of job, and none of its targets became slower for a while, so that refusals and late answers under overload were not checked with real processes.

Change: from seed 4000 on, one or two bursts of 10 to 60 more callers send jobs of one kind for up to 2 s, and one to three targets take 3 to 8 times as long for runs that start within up to 3 s (not in plans of planned operations only). Earlier seeds draw what they drew. Seed 4000 runs by default.

--- a/crates/greengagebeam/tests/soak.rs
+++ b/crates/greengagebeam/tests/soak.rs
@@ -267,9 +267,15 @@
         let (seed, nodes) = (seed << 8 | caller, Arc::clone(&nodes));
         callers::send_jobs_until(seed, plan.crash_percent, nodes, started_at, TRAFFIC_MS)
     });
+    let burst_callers = plan.bursts.iter().flat_map(|burst| vec![*burst; burst.callers]);
+    let burst_callers = burst_callers.enumerate().map(|(caller, burst)| {
+        let seed = seed << 8 | (plan.callers + caller) as u64;
+        callers::send_jobs_in_burst(seed, burst, Arc::clone(&nodes), started_at)
+    });
+    let burst_traffic = task::spawn(join_all(burst_callers));
     let traffic = task::spawn(join_all(callers));
     soak.run_plan(&plan, started_at).await;
-    let jobs = traffic.await.concat();
+    let jobs = [traffic.await.concat(), burst_traffic.await.concat()].concat();
     let recovery_started_at = Instant::now();
     soak.recover_all().await;
     let recovery_ms = recovery_started_at.elapsed().as_millis();
@@ -304,7 +310,8 @@
 /// * 1080: a request reaches a node that is about to exit after a planned stop.
 /// * 2000: connections that go silent while new ones work.
 /// * 3000: targets that restart silently and whose listings are overtaken.
-const SEEDS: [u64; 10] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000, 3_000];
+/// * 4000: bursts of one kind of job, and targets that are slow for a while.
+const SEEDS: [u64; 11] = [1, 2, 4, 201, 312, 1_000, 1_039, 1_080, 2_000, 3_000, 4_000];
 
 fn seeds_to_run() -> Vec<u64> {
     let Ok(range) = env::var("GGB_SOAK_SEEDS") else { return SEEDS.to_vec() };
--- a/crates/greengagebeam/tests/soak/callers.rs
+++ b/crates/greengagebeam/tests/soak/callers.rs
@@ -14,7 +14,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fleet::{HOST, PATH_PREFIX, job_body, job_state, run_spec};
+use crate::{
+    fleet::{HOST, PATH_PREFIX, job_body, job_state, run_spec},
+    plan::Burst,
+};
 
 /// Deadline that callers give their jobs, as the users state it.
 const DEADLINE_MS: u64 = 1_500;
@@ -103,6 +106,24 @@
     }
 }
 
+/// Sends jobs of one kind, one after the other, while a burst lasts; returns all jobs.
+pub async fn send_jobs_in_burst(
+    seed: u64,
+    burst: Burst,
+    nodes: Arc<[SocketAddr]>,
+    started_at: Instant,
+) -> Vec<CallerJob> {
+    let start = Duration::from_millis(burst.start_ms);
+    task::sleep(start.saturating_sub(started_at.elapsed())).await;
+    let next_job = |rng: &mut ChaCha8Rng| CallerJob {
+        id: format!("{:016x}", rng.random::<u64>()),
+        steps: vec![burst.tasks],
+        run_spec: run_spec(burst.work_ms),
+        requests: Vec::new(),
+    };
+    send_each(ChaCha8Rng::seed_from_u64(seed), next_job, nodes, started_at, burst.end_ms).await
+}
+
 /// Sends jobs one after the other until `until_ms` after `started_at`; returns all jobs.
 ///
 /// Of the jobs, `crash_percent` crash each target that starts one of their tasks.
@@ -112,14 +133,27 @@
     nodes: Arc<[SocketAddr]>,
     started_at: Instant,
     until_ms: u64,
+) -> Vec<CallerJob> {
+    let next_job = |rng: &mut ChaCha8Rng| {
+        let mut job = random_job(rng);
+        job.run_spec.crashes = crash_percent > 0 && rng.random_range(0..100) < crash_percent;
+        job
+    };
+    send_each(ChaCha8Rng::seed_from_u64(seed), next_job, nodes, started_at, until_ms).await
+}
+
+async fn send_each(
+    mut rng: ChaCha8Rng,
+    next_job: impl Fn(&mut ChaCha8Rng) -> CallerJob,
+    nodes: Arc<[SocketAddr]>,
+    started_at: Instant,
+    until_ms: u64,
 ) -> Vec<CallerJob> {
     let client =
         HttpClient::new(ClientOptions { max_idle_per_peer: 1, ..ClientOptions::default() });
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut jobs = Vec::new();
     while elapsed_ms(started_at) < until_ms {
-        let mut job = random_job(&mut rng);
-        job.run_spec.crashes = crash_percent > 0 && rng.random_range(0..100) < crash_percent;
+        let mut job = next_job(&mut rng);
         for _ in 0..MAX_REQUESTS_PER_JOB {
             let node = rng.random_range(0..nodes.len());
             let request = send_job(&client, nodes[node], node, &job, started_at).await;
--- a/crates/greengagebeam/tests/soak/plan.rs
+++ b/crates/greengagebeam/tests/soak/plan.rs
@@ -32,6 +32,16 @@
 /// Maximum number of silent restarts, from [`FIRST_SEED_WITH_SILENT_RESTARTS`] on.
 const MAX_SILENT_RESTARTS: usize = 5;
 
+/// First seed with bursts of one kind of job and with targets that are slow for a while. Earlier seeds stay
+/// as they were when they failed.
+const FIRST_SEED_WITH_BURSTS: u64 = 4_000;
+
+/// Maximum number of bursts, from [`FIRST_SEED_WITH_BURSTS`] on.
+const MAX_BURSTS: usize = 2;
+
+/// Maximum number of slow targets, from [`FIRST_SEED_WITH_BURSTS`] on.
+const MAX_SLOW_TARGETS: usize = 3;
+
 /// Endpoint of the traffic that a link fault affects.
 #[derive(Clone, Copy, Debug)]
 pub enum LinkEndpoint {
@@ -83,7 +93,7 @@
     Crash(usize),
     /// A target crashes, answers nothing, and starts a new incarnation when the fault ends.
     RestartSilently(usize),
-    /// A target fails or stalls the runs that it starts.
+    /// A target fails, stalls or slows down the runs that it starts.
     Target(usize, SimulatedTargetMode),
     /// A target is removed from the list, and put back when the fault ends.
     Unlist(usize),
@@ -99,6 +109,18 @@
     pub fault: Fault,
 }
 
+/// A time in which more callers send jobs of one kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    pub start_ms: u64,
+    pub end_ms: u64,
+    pub callers: usize,
+    /// Number of tasks of a job, which has one step.
+    pub tasks: u16,
+    /// Run time of a task.
+    pub work_ms: u64,
+}
+
 /// Cluster size, faults and callers of a soak.
 #[derive(Clone, Debug)]
 pub struct FaultPlan {
@@ -108,6 +130,7 @@
     /// Faults, sorted by start.
     pub faults: Vec<ScheduledFault>,
     pub callers: usize,
+    pub bursts: Vec<Burst>,
     /// Share of the jobs that crash each target that starts them.
     pub crash_percent: u32,
     /// Time by which targets send a listing later than they make it.
@@ -160,10 +183,36 @@
             }));
             listing_delay_ms = rng.random_range(0..=40);
         }
+        let mut bursts = Vec::new();
+        if seed >= FIRST_SEED_WITH_BURSTS {
+            bursts.extend((0..rng.random_range(1..=MAX_BURSTS)).map(|_| random_burst(&mut rng)));
+        }
+        if seed >= FIRST_SEED_WITH_BURSTS && !planned_only {
+            let slow_targets = rng.random_range(1..=MAX_SLOW_TARGETS);
+            faults.extend((0..slow_targets).map(|_| ScheduledFault {
+                start_ms: rng.random_range(500..MAX_FAULT_END_MS - 3_000),
+                duration_ms: rng.random_range(500..=3_000),
+                fault: Fault::Target(
+                    random_target(&mut rng, size),
+                    SimulatedTargetMode::Slow { factor: rng.random_range(3..=8) },
+                ),
+            }));
+        }
         faults.sort_by_key(|scheduled| scheduled.start_ms);
         let callers = rng.random_range(4..=24);
         let crash_percent = if seed < FIRST_SEED_WITH_CRASHES { 0 } else { CRASH_PERCENT };
-        FaultPlan { size, planned_only, faults, callers, crash_percent, listing_delay_ms }
+        FaultPlan { size, planned_only, faults, callers, bursts, crash_percent, listing_delay_ms }
+    }
+}
+
+fn random_burst(rng: &mut impl Rng) -> Burst {
+    let start_ms = rng.random_range(500..MAX_FAULT_END_MS - 1_000);
+    Burst {
+        start_ms,
+        end_ms: start_ms + rng.random_range(500..=2_000),
+        callers: rng.random_range(10..=60),
+        tasks: rng.random_range(1..=8),
+        work_ms: rng.random_range(20..=900),
     }
 }
 
--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -494,11 +494,6 @@
         self.actions.push(Action::RequestListing { target });
     }
 
-    fn restart_polling(&mut self, target_index: usize) {
-        let target = Arc::clone(&self.targets[target_index].info().id);
-        self.actions.push(Action::RestartPolling { target });
-    }
-
     /// Requests the listings that released jobs wait for.
     fn request_awaited_listings(&mut self, now_ms: u64) {
         let queued_jobs = self.queue.iter().filter_map(|entry| self.job(entry.job));
--- a/crates/placement/src/dispatcher/renewal.rs
+++ b/crates/placement/src/dispatcher/renewal.rs
@@ -5,9 +5,9 @@
 //! entry process found the callers of the target's jobs connected: if every process that handled a
 //! job is lost, its runs still end before the job returns.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
-use crate::{CALLER_EXPIRY_MS, Dispatcher, Target, lease::lease_until_ms};
+use crate::{Action, CALLER_EXPIRY_MS, Dispatcher, Target, lease::lease_until_ms};
 
 /// Contents of a request for a listing of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +46,12 @@
         })
     }
 
+    /// Abandons the periodic listing request to a target and sends the next one.
+    pub(super) fn restart_polling(&mut self, target_index: usize) {
+        let target = Arc::clone(&self.targets[target_index].info().id);
+        self.actions.push(Action::RestartPolling { target });
+    }
+
     /// Returns the lease to ask of a target, or `None` if its runs must not be kept, since one of them
     /// has no known job or its caller may be about to return.
     fn lease_ms(&self, target: &Target, now_ms: u64) -> Option<u64> {
--- a/crates/placement/tests/simulation/links.rs
+++ b/crates/placement/tests/simulation/links.rs
@@ -9,8 +9,8 @@
 use rand::Rng as _;
 
 use super::{
-    INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Offloaded, Simulation, TAKEOVER_DELAY_MS, Waiter,
-    zone_name,
+    INTER_ZONE_LATENCY_MS, INTRA_ZONE_LATENCY_MS, Offloaded, Owner, Simulation, TAKEOVER_DELAY_MS,
+    Waiter, zone_name,
 };
 
 /// Maximum time for which a target delays a listing.
@@ -48,6 +48,23 @@
     started_unix_ms: u64,
 }
 
+impl Owner {
+    /// Returns the number of times that polling of a target was restarted.
+    fn poll_restarts(&self, target_index: usize) -> u32 {
+        let restarts = &self.poll_restarts;
+        let position = restarts.binary_search_by_key(&target_index, |(target, _)| *target);
+        position.map_or(0, |position| restarts[position].1)
+    }
+
+    fn count_poll_restart(&mut self, target_index: usize) {
+        let restarts = &mut self.poll_restarts;
+        match restarts.binary_search_by_key(&target_index, |(target, _)| *target) {
+            Ok(position) => restarts[position].1 += 1,
+            Err(position) => restarts.insert(position, (target_index, 1)),
+        }
+    }
+}
+
 /// Effect of the link faults on a request.
 enum Delivery {
     Delivered,
--- a/crates/placement/tests/simulation/mod.rs
+++ b/crates/placement/tests/simulation/mod.rs
@@ -68,23 +68,6 @@
     poll_restarts: Vec<(usize, u32)>,
 }
 
-impl Owner {
-    /// Returns the number of times that polling of a target was restarted.
-    fn poll_restarts(&self, target_index: usize) -> u32 {
-        let restarts = &self.poll_restarts;
-        let position = restarts.binary_search_by_key(&target_index, |(target, _)| *target);
-        position.map_or(0, |position| restarts[position].1)
-    }
-
-    fn count_poll_restart(&mut self, target_index: usize) {
-        let restarts = &mut self.poll_restarts;
-        match restarts.binary_search_by_key(&target_index, |(target, _)| *target) {
-            Ok(position) => restarts[position].1 += 1,
-            Err(position) => restarts.insert(position, (target_index, 1)),
-        }
-    }
-}
-
 /// A part of a job that an owner submitted to another one.
 struct Offloaded {
     part: u64,
--- a/crates/standin/src/simulated_target.rs
+++ b/crates/standin/src/simulated_target.rs
@@ -18,6 +18,21 @@
     Stalled,
     /// Runs fail 1 ms after they start.
     Failing,
+    /// Runs end as their work says, but take `factor` times as long.
+    Slow {
+        /// Factor of the run times.
+        factor: u64,
+    },
+}
+
+impl SimulatedTargetMode {
+    /// Returns the run time of `work`, unless the mode determines it.
+    const fn run_ms(self, work: &SimulatedWork) -> u64 {
+        match self {
+            SimulatedTargetMode::Slow { factor } => work.work_ms.saturating_mul(factor),
+            _ => work.work_ms,
+        }
+    }
 }
 
 /// Resources, run time and result of a simulated run.
@@ -235,10 +250,8 @@
         let (ends_at_ms, end) = match self.mode {
             SimulatedTargetMode::Stalled => (None, RunEnd::Lost),
             SimulatedTargetMode::Failing => (Some(now_ms + 1), RunEnd::Failed),
-            SimulatedTargetMode::Healthy if work.fails => {
-                (Some(now_ms + work.work_ms), RunEnd::Failed)
-            }
-            SimulatedTargetMode::Healthy => (Some(now_ms + work.work_ms), RunEnd::Done),
+            mode if work.fails => (Some(now_ms + mode.run_ms(&work)), RunEnd::Failed),
+            mode => (Some(now_ms + mode.run_ms(&work)), RunEnd::Done),
         };
         self.runs.push(SimulatedRun { run, work, started_at_ms: now_ms, ends_at_ms, end });
         if work.crashes {
