Test the refusal of a job that no owner has taken

The answer of an entry process at the deadline had no test of its own. job_whose_deadline_passes_while_its_zone_has_no_owner_is_refused kills the owner of a zone and submits a job with 250 ms at its other process.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -286,6 +286,24 @@
         self.call(node, Method::Post, &path, job_body(&[tasks], run_spec)).await
     }
 
+    /// Submits a job of one short task whose caller waits for `deadline_ms`.
+    pub async fn submit_with_deadline(
+        &self,
+        node: usize,
+        job: u64,
+        deadline_ms: u64,
+    ) -> Option<Reply> {
+        let path = format!("{PATH_PREFIX}{job:016x}");
+        let deadline_ms = deadline_ms.to_string();
+        let headers = [("Host", HOST), ("Greengagebeam-Deadline-Ms", deadline_ms.as_str())];
+        let body = job_body(&[1], run_spec(10));
+        let addr = self.caller_addr(node);
+        self.client
+            .send_with_headers(addr, Method::Post, &path, &headers, body, WAIT_TIMEOUT_MS)
+            .await
+            .ok()
+    }
+
     /// Submits a job of one task to a node as a peer would; returns the answer.
     pub async fn submit_as_peer(
         &self,
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -403,6 +403,15 @@
         jobs.iter().for_each(|job| assert_done(&fleet, *job, 1));
     }
 
+    // Guards against a job that no owner has taken and whose caller is not told that it has not run.
+    job_whose_deadline_passes_while_its_zone_has_no_owner_is_refused(75, fleet) {
+        fleet.nodes[0].process.kill();
+        let reply = fleet.submit_with_deadline(1, SAMPLED_JOB, 250).await.unwrap();
+        assert_eq!(reply.status, StatusCode::ServiceUnavailable, "{reply:?}");
+        task::sleep(Duration::from_millis(1_500)).await;
+        assert!(!was_started(&fleet, SAMPLED_JOB));
+    }
+
     jobs_complete_while_the_owner_is_frozen_and_after_it_resumes(60, fleet) {
         fleet.nodes[0].process.signal(Signal::SIGSTOP).unwrap();
         assert_completed(fleet.submit(1, 5, 2, 50).await);
