Count a job as started only if a run may have begun

Cause: a job counted as started once a start request was sent, also if the target rejected it. With nothing running it then waited until it could not end before its caller's deadline, and was answered 504, although nothing had run.

Change: a job counts the runs that may have begun. A start request that was not sent, or that the target rejected, is taken off, except if the target has seen the run before (OldRun).

Result: job_whose_only_start_was_rejected_is_refused_when_it_is_queued_too_long fails without the subtraction and passes now, as do the other tests of ggb-placement, among them the simulation, which checks every refusal.

--- a/crates/placement/src/dispatcher.rs
+++ b/crates/placement/src/dispatcher.rs
@@ -17,8 +17,8 @@
 use ggb_telemetry::log_event;
 
 use crate::{
-    Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunEnd, RunPhase, RunTimes, Target,
-    TargetInfo, TargetLosses, TargetRun,
+    Claim, JobAnswer, JobId, LossCause, RefusalReason, Run, RunPhase, RunTimes, Target, TargetInfo,
+    TargetLosses,
     dispatcher::{
         job_state::{JobPhase, JobState},
         lending::{OffloadedPart, RemoteZone},
@@ -353,6 +353,12 @@
             self.set_target_reachable(id, false, now_ms);
         }
         self.request_listing(target_index, now_ms);
+        // A target answers so if it has seen the run before.
+        if outcome != StartOutcome::OldRun
+            && let Some(job) = self.job_mut(run.task.job)
+        {
+            job.record_unbegun_run(run, id);
+        }
         self.requeue_task(run, id, false, now_ms);
         self.place_tasks(now_ms);
     }
@@ -527,26 +533,6 @@
         now_ms >= last_ms + interval_ms
     }
 
-    /// Counts and logs a run that ended without a listed end, as a listing that was requested at
-    /// `listing_requested_at_ms` shows.
-    fn record_lost_run(
-        &mut self,
-        target_run: &TargetRun,
-        target_id: &str,
-        end: RunEnd,
-        listing_requested_at_ms: Option<u64>,
-        now_ms: u64,
-    ) {
-        self.lost_runs += 1;
-        log_event!(
-            warn, RunLost, run = %target_run.run, target = target_id, end = ?end,
-            phase = ?target_run.phase, is_confirmed = target_run.is_confirmed(),
-            ran_ms = now_ms - target_run.start_sent_at_ms,
-            in_phase_ms = now_ms - target_run.phase_since_ms,
-            listing_age_ms = listing_requested_at_ms.map(|requested_at_ms| now_ms - requested_at_ms)
-        );
-    }
-
     /// Returns the task of an ended run to the queue, unless its job is closed.
     fn requeue_task(&mut self, run: Run, target_id: &str, failed: bool, now_ms: u64) {
         let Some(job) = self.job_mut(run.task.job) else { return };
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -70,7 +70,10 @@
     caller_checked_at_ms: u64,
     /// Response time objective, counted from `received_at_ms`.
     objective_ms: u64,
-    has_started: bool,
+    /// Whether tasks may have run under an earlier dispatcher or in another zone.
+    has_run_elsewhere: bool,
+    /// Number of runs in this zone that may have begun.
+    possible_runs: u32,
     /// Time at which the last caller left, unless another one has come since.
     abandoned_at_ms: Option<u64>,
     /// First target on which a task of the job failed.
@@ -104,7 +107,8 @@
             arrived_at_ms: now_ms,
             caller_deadline_ms: submission.caller_deadline_ms(now_ms),
             caller_checked_at_ms: submission.caller_checked_at_ms(now_ms),
-            has_started: submission.earlier_runs != EarlierRuns::None,
+            has_run_elsewhere: submission.earlier_runs != EarlierRuns::None,
+            possible_runs: 0,
             waiting_tasks: tasks.len(),
             is_late: false,
             submission,
@@ -169,7 +173,7 @@
         self.submission.released_under =
             self.submission.released_under.max(released.released_under);
         self.arrived_at_ms = now_ms;
-        self.has_started = true;
+        self.has_run_elsewhere = true;
     }
 
     /// Records that an entry process found a caller connected at `checked_at_ms`.
@@ -196,7 +200,7 @@
 
     /// Returns whether any task of the job may have started.
     pub(super) const fn has_started(&self) -> bool {
-        self.has_started
+        self.has_run_elsewhere || self.possible_runs > 0
     }
 
     pub(super) const fn objective_ms(&self) -> u64 {
@@ -301,7 +305,14 @@
         }
         task.last_run_number = task.last_run_number.max(run.number);
         task.state = TaskState::Assigned { target, run };
-        self.has_started = true;
+        self.possible_runs += 1;
+    }
+
+    /// Records that `target_id` has certainly not begun `run`, which it was asked to start.
+    pub(super) fn record_unbegun_run(&mut self, run: Run, target_id: &str) {
+        let is_assigned =
+            self.assigned().any(|(target, current)| current == run && target.as_ref() == target_id);
+        self.possible_runs -= u32::from(is_assigned);
     }
 
     /// Marks a task as done. Returns its previous state, unless it was already done.
@@ -386,7 +397,7 @@
     pub(super) fn earlier_runs(&self) -> EarlierRuns {
         match self.has_offloaded() {
             true => self.submission.earlier_runs.max(EarlierRuns::AnyZone),
-            false if self.has_started => self.submission.earlier_runs.max(EarlierRuns::OwnZone),
+            false if self.has_started() => self.submission.earlier_runs.max(EarlierRuns::OwnZone),
             false => EarlierRuns::None,
         }
     }
@@ -452,7 +463,7 @@
 
     /// Records that tasks of the job may have run.
     pub(super) const fn set_started(&mut self) {
-        self.has_started = true;
+        self.has_run_elsewhere = true;
     }
 
     pub(super) fn steps(&self) -> impl Iterator<Item = &StepSpec> {
--- a/crates/placement/src/dispatcher/losses.rs
+++ b/crates/placement/src/dispatcher/losses.rs
@@ -15,6 +15,26 @@
 };
 
 impl Dispatcher {
+    /// Counts and logs a run that ended without a listed end, as a listing that was requested at
+    /// `listing_requested_at_ms` shows.
+    pub(super) fn record_lost_run(
+        &mut self,
+        target_run: &TargetRun,
+        target_id: &str,
+        end: RunEnd,
+        listing_requested_at_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        self.lost_runs += 1;
+        log_event!(
+            warn, RunLost, run = %target_run.run, target = target_id, end = ?end,
+            phase = ?target_run.phase, is_confirmed = target_run.is_confirmed(),
+            ran_ms = now_ms - target_run.start_sent_at_ms,
+            in_phase_ms = now_ms - target_run.phase_since_ms,
+            listing_age_ms = listing_requested_at_ms.map(|requested_at_ms| now_ms - requested_at_ms)
+        );
+    }
+
     /// Returns the known losses of targets, for the other processes.
     pub const fn target_losses(&self) -> &TargetLosses {
         &self.target_losses
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -140,4 +140,25 @@
         harness.advance(5);
         assert_eq!(harness.take_answers(), [JobAnswer::GivenUp]);
     }
+
+    // Guards against a job that counts as started, and is held until its deadline, although no target has begun a run.
+    job_whose_only_start_was_rejected_is_refused_when_it_is_queued_too_long(harness: [14, 14]) {
+        let unanswered = "00000000000000bb";
+        harness.submit(job(JOB, vec![step(1)]));
+        harness.submit(job(unanswered, vec![step(1)]));
+        let starts = harness.take_starts();
+        let outcomes = [StartOutcome::NoRoom, StartOutcome::Unanswered];
+        for ((target, run), outcome) in starts.into_iter().zip(outcomes) {
+            let now_ms = harness.now_ms;
+            harness.dispatcher.apply_start_outcome(&target, run, 0, outcome, None, now_ms);
+            harness.dispatcher.set_target_reachable(&target, false, now_ms);
+        }
+        harness.take_actions();
+        harness.advance(100);
+        let answers = harness.take_answers();
+        let is_refused = |answer: &JobAnswer| {
+            matches!(answer, JobAnswer::Refused { reason: RefusalReason::StillQueued, .. })
+        };
+        assert!(answers.len() == 1 && answers.iter().all(is_refused), "{answers:?}");
+    }
 }
