Don't refuse a returned job of which a target has listed a run

Cause: a job whose caller sent it again counted as not started until a run of it was adopted. It was refused with "not run" at admission although a target had listed a run or an end of it, or in the queue if a listed end had been applied.

Change: a listed end that is applied to a job that arrives marks it as started; a job of which a run or an end is listed is admitted, except parts, whose other tasks run elsewhere.

Result: job_with_a_listed_end_is_not_refused and job_with_a_listed_end_that_is_not_admitted_is_not_refused fail before and pass now, as do the other tests of ggb-placement.

--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -108,7 +108,12 @@
         let objective_ms = (submission.queue.stretch * critical_path_ms as f64) as u64
             + submission.queue.target_latency_ms;
         let job = JobState::new(submission, request, expected_ms, objective_ms, now_ms);
-        match self.check_admission(&job, now_ms) {
+        let admission = match self.check_admission(&job, now_ms) {
+            // Its caller has returned; a refusal would say that no task has run.
+            Err(_) if job.submission().part.is_none() && self.has_listed_runs(&job) => Ok(0),
+            admission => admission,
+        };
+        match admission {
             Ok(wait_ms) => {
                 log_job_event!(
                     id.is_sampled(), JobAdmitted, job = %id, queue = %job.submission().queue.name,
--- a/crates/placement/src/dispatcher/listings.rs
+++ b/crates/placement/src/dispatcher/listings.rs
@@ -7,7 +7,7 @@
 use crate::{
     Dispatcher, EndedRun, JobAnswer, JobId, Listing, Run, RunEnd, RunPhase, Submission, TargetRun,
     TaskId,
-    dispatcher::job_state::{JobPhase, TaskEntry, TaskState},
+    dispatcher::job_state::{JobPhase, JobState, TaskEntry, TaskState},
 };
 
 impl Dispatcher {
@@ -225,8 +225,22 @@
         }
     }
 
+    /// Returns whether a target has listed a run or an end of a task of a job that has just arrived.
+    pub(super) fn has_listed_runs(&self, job: &JobState) -> bool {
+        let is_listed = |task: &TaskEntry| {
+            self.targets.iter().any(|target| {
+                target.latest_listed_end(task.id).is_some()
+                    || target.latest_unassigned_run(task.id).is_some()
+            })
+        };
+        job.tasks.iter().any(is_listed)
+    }
+
     /// Applies the end of a run that was listed before the job of the run arrived.
     fn apply_recent_end(&mut self, run: Run, target_id: &str, end: RunEnd, now_ms: u64) {
+        if let Some(job) = self.job_mut(run.task.job) {
+            job.set_started();
+        }
         match end {
             RunEnd::Done => self.complete_task(run, target_id, now_ms),
             RunEnd::Failed => self.count_untracked_failure(run, now_ms),
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -161,4 +161,26 @@
         };
         assert!(answers.len() == 1 && answers.iter().all(is_refused), "{answers:?}");
     }
+
+    // Guards against a refusal of a job whose caller has returned and of which a task has run.
+    job_with_a_listed_end_is_not_refused(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        harness.take_actions();
+        let mut patient = job(JOB, vec![step(1)]);
+        patient.queue.stretch = 3.0;
+        harness.submit(patient);
+        assert_eq!(harness.take_answers(), []);
+        harness.advance(200);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    // Guards against the same for a job that is not admitted.
+    job_with_a_listed_end_that_is_not_admitted_is_not_refused(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        harness.take_actions();
+        harness.submit(job(JOB, vec![step(8)]));
+        assert_eq!(harness.take_answers(), []);
+    }
 }
