--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -140,4 +140,47 @@
         harness.advance(5);
         assert_eq!(harness.take_answers(), [JobAnswer::GivenUp]);
     }
+
+    // Guards against a job that counts as started, and is held until its deadline, although no target has begun a run.
+    job_whose_only_start_was_rejected_is_refused_when_it_is_queued_too_long(harness: [14, 14]) {
+        let unanswered = "00000000000000bb";
+        harness.submit(job(JOB, vec![step(1)]));
+        harness.submit(job(unanswered, vec![step(1)]));
+        let starts = harness.take_starts();
+        let outcomes = [StartOutcome::NoRoom, StartOutcome::Unanswered];
+        for ((target, run), outcome) in starts.into_iter().zip(outcomes) {
+            let now_ms = harness.now_ms;
+            harness.dispatcher.apply_start_outcome(&target, run, 0, outcome, None, now_ms);
+            harness.dispatcher.set_target_reachable(&target, false, now_ms);
+        }
+        harness.take_actions();
+        harness.advance(100);
+        let answers = harness.take_answers();
+        let is_refused = |answer: &JobAnswer| {
+            matches!(answer, JobAnswer::Refused { reason: RefusalReason::StillQueued, .. })
+        };
+        assert!(answers.len() == 1 && answers.iter().all(is_refused), "{answers:?}");
+    }
+
+    // Guards against a refusal of a job whose caller has returned and of which a task has run.
+    job_with_a_listed_end_is_not_refused(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        harness.take_actions();
+        let mut patient = job(JOB, vec![step(1)]);
+        patient.queue.stretch = 3.0;
+        harness.submit(patient);
+        assert_eq!(harness.take_answers(), []);
+        harness.advance(200);
+        assert_eq!(harness.take_answers(), []);
+    }
+
+    // Guards against the same for a job that is not admitted.
+    job_with_a_listed_end_that_is_not_admitted_is_not_refused(harness: [14]) {
+        harness.submit(job("00000000000000bb", vec![step(1)]));
+        harness.apply_listing(0, &[], &[(1, run(0, 1), RunEnd::Stopped)]);
+        harness.take_actions();
+        harness.submit(job(JOB, vec![step(8)]));
+        assert_eq!(harness.take_answers(), []);
+    }
 }
