Wait for the owner of a zone with known processes, and sharpen tests

Cause: seven tests on real processes, run six times while another build ran, failed three times. A job of an evacuated zone was refused since its entry process had just started and knew no owner of the other zone; the owner of the zone was not the node that a test assumed; and a node took a job before a signal had stopped it. The test of a paused owner also passed with the check of the age of its knowledge taken out, since heartbeats or the poll from before the pause brought the request. Seventeen mistaken rows would have kept the evacuation of real zones out of heartbeats.

Lists that are too long for heartbeats are reduced to the zones of the settings. The tests wait until all nodes know each other, ask which node is the owner, and play the pause without peers, after the poll, with a slow store. A new test moves a queued job to another zone.

Tests: the evacuation tests on real processes pass in six of six runs on their own; without the check of the age, the test of a paused owner fails in two of two. One run of it before gave no result within 60 s, which included a build; not seen again in six.

--- a/crates/greengagebeam/tests/evacuation.rs
+++ b/crates/greengagebeam/tests/evacuation.rs
@@ -19,6 +19,7 @@
 use ggb_membership::{MAX_HEARTBEAT_BYTES, Node, Ownership};
 use ggb_standin::StoreMode;
 use http_types::StatusCode;
+use serde_json::json;
 
 const SIZE: FleetSize = FleetSize { zones: 2, nodes_per_zone: 2, targets_per_zone: 2 };
 
@@ -72,12 +73,37 @@
     assert_eq!(starts_in_zone(fleet, 0), before, "tasks were started in the evacuated zone");
 }
 
+/// Waits until every node knows the others. One that has just started can't send jobs to another zone.
+async fn wait_until_all_know_each_other(fleet: &Fleet) {
+    let others = json!(fleet.nodes.len() - 1);
+    for node in 0..fleet.nodes.len() {
+        fleet
+            .wait_until("a node knows the others", || async {
+                fleet.status(node).await["known_processes"] == others
+            })
+            .await;
+    }
+}
+
+/// Returns the node that owns zone 0, once there is one. Either can be the first to claim.
+async fn owner_of_zone_0(fleet: &Fleet) -> usize {
+    loop {
+        for node in [0, 1] {
+            if fleet.metric(node, "ggb_is_owner").await == Some(1) {
+                return node;
+            }
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 macro_rules! cases {
     ($($name:ident($net_octet:literal, $fleet:ident) $body:block)+) => {
         $(
             #[async_std::test]
             async fn $name() {
                 let mut $fleet = Fleet::spawn($net_octet, SIZE).await;
+                wait_until_all_know_each_other(&$fleet).await;
                 $body
                 $fleet.assert_no_concurrent_runs();
                 drop(std::mem::take(&mut $fleet.nodes));
@@ -104,9 +130,10 @@
         };
         let (reply, ()) = futures::join!(running, evacuating);
         assert_completed(reply);
-        wait_for_event(&fleet, &["0-1"], "ZoneEmpty", 1).await;
+        let owner = owner_of_zone_0(&fleet).await;
+        wait_for_event(&fleet, &[NODES[owner]], "ZoneEmpty", 1).await;
         fleet.wait_until("the gauges show the empty zone", || async {
-            let runs = fleet.metric(0, "ggb_evacuated_runs{zone=\"zone-0\"}").await;
+            let runs = fleet.metric(owner, "ggb_evacuated_runs{zone=\"zone-0\"}").await;
             let gauge = |zone: u8| format!("ggb_evacuated{{zone=\"zone-{zone}\"}}");
             let evacuated = fleet.metric(3, &gauge(0)).await;
             let in_service = fleet.metric(3, &gauge(1)).await;
@@ -139,16 +166,48 @@
         assert_zone_0_is_unused(&fleet, 2).await;
     }
 
+    // Guards against callers that are refused, or wait in vain, since their job was in the zone's queue.
+    job_in_the_queue_of_a_zone_moves_to_another_one_when_its_zone_is_evacuated(44, fleet) {
+        // Four tasks fill a zone. Each owner keeps its own tasks, since the other zone is full.
+        let filling = futures::future::join(
+            fleet.submit(0, 0xa0, 4, 4_000), fleet.submit(2, 0xa1, 4, 4_000),
+        );
+        let queueing = async {
+            fleet.wait_until("both zones are full", || async {
+                fleet.run_records().len() == 8
+            }).await;
+            let owner = owner_of_zone_0(&fleet).await;
+            let queued = fleet.submit(1, 0xa2, 2, 20);
+            let evacuating = async {
+                fleet.wait_until("the job is queued in zone 0", || async {
+                    fleet.metric(owner, "ggb_queued_jobs{priority=\"0\"}").await == Some(1)
+                }).await;
+                evacuate(&fleet, 0);
+            };
+            let (reply, ()) = futures::join!(queued, evacuating);
+            assert_completed(reply);
+        };
+        let (filled, ()) = futures::join!(filling, queueing);
+        assert_completed(filled.0);
+        assert_completed(filled.1);
+        assert_eq!(starts_in_zone(&fleet, 0), 4, "the queued job was started in its zone");
+        let refused = |node: &&str| count_in_log(&fleet, node, "\"reason\":\"Evacuated\"");
+        let refused: usize = NODES[..2].iter().map(refused).sum();
+        assert_eq!(refused, 1, "the owner of the zone did not hand the job back");
+    }
+
     // Guards against a successor that starts the jobs that it takes over.
     successor_of_a_killed_owner_starts_nothing_in_an_evacuated_zone(47, fleet) {
         evacuate(&fleet, 0);
         wait_for_event(&fleet, &NODES, "ZoneEvacuated", 1).await;
-        fleet.nodes[0].process.kill();
+        let owner = owner_of_zone_0(&fleet).await;
+        let successor = 1 - owner;
+        fleet.nodes[owner].process.kill();
         fleet.wait_until("the zone has another owner", || async {
-            fleet.metric(1, "ggb_is_owner").await == Some(1)
+            fleet.metric(successor, "ggb_is_owner").await == Some(1)
         }).await;
         let before = starts_in_zone(&fleet, 0);
-        for node in [1, 2, 3] {
+        for node in [successor, 2, 3] {
             assert_completed(fleet.submit(node, rand::random(), 2, 20).await);
         }
         assert_eq!(starts_in_zone(&fleet, 0), before);
@@ -170,7 +229,7 @@
         }
         assert_zone_0_is_unused(&fleet, 2).await;
         for node in &NODES[..2] {
-            assert_eq!(count_in_log(&fleet, node, "source=\"store\""), 0, "{node}");
+            assert_eq!(count_in_log(&fleet, node, "\"source\":\"store\""), 0, "{node}");
         }
         wait_for_event(&fleet, &NODES[..2], "ZoneEvacuated", 1).await;
         fleet.store.compact();
@@ -182,18 +241,25 @@
 
     // Guards against a start after a pause in which the request was made.
     owner_that_was_paused_during_the_request_starts_nothing(49, fleet) {
-        // Nobody takes over from an owner that is alone in its zone.
-        fleet.nodes[1].process.kill();
+        // Nobody takes over from an owner that is alone, or tells it of the request.
+        for node in [1, 2, 3] {
+            fleet.nodes[node].process.kill();
+        }
         fleet.wait_until("the first node is the owner", || async {
             fleet.metric(0, "ggb_is_owner").await == Some(1)
         }).await;
         let before = starts_in_zone(&fleet, 0);
         fleet.nodes[0].process.signal(nix::sys::signal::Signal::SIGSTOP).unwrap();
+        // The signal does not stop all threads at once.
+        task::sleep(Duration::from_millis(100)).await;
         let paused = fleet.submit(0, 0xcc, 2, 20);
         let resuming = async {
-            task::sleep(Duration::from_millis(200)).await;
+            // The store answers the poll from before the pause without the request.
+            task::sleep(Duration::from_millis(1_500)).await;
             evacuate(&fleet, 0);
             task::sleep(Duration::from_millis(EVACUATE_MS)).await;
+            // Targets answer the node sooner than the store does.
+            fleet.store.set_mode(StoreMode::Slow { delay_ms: 300 });
             fleet.nodes[0].process.signal(nix::sys::signal::Signal::SIGCONT).unwrap();
         };
         let (reply, ()) = futures::join!(paused, resuming);
--- a/crates/membership/src/evacuation.rs
+++ b/crates/membership/src/evacuation.rs
@@ -19,8 +19,7 @@
 }
 
 /// Maximum number of zones in a report, each of up to 67 bytes, so that heartbeats stay below their
-/// maximum size. A longer list is left out whole, since a part of it would end the evacuation of the
-/// other zones.
+/// maximum size. Mistaken rows for zones that don't exist must not make heartbeats too large.
 const MAX_REPORTED_ZONES: usize = 16;
 
 /// State of the evacuations as heartbeats carry it. Nothing is written while no evacuation was ever
@@ -72,14 +71,19 @@
         self.zones.binary_search(zone).is_ok()
     }
 
-    /// Returns the state for heartbeats.
-    pub fn report(&self) -> EvacuationReport {
-        if self.zones.len() > MAX_REPORTED_ZONES {
-            return EvacuationReport::default();
-        }
-        EvacuationReport {
-            evacuated_zones: self.zones.clone(),
-            evacuation_version: (self.changed_at > 0).then_some(self.changed_at),
+    /// Returns the state for heartbeats. A list that is too long is reduced to the zones in `listed`,
+    /// which are sorted, and left out if it is too long even then: a part of it would end the evacuation of the other
+    /// zones.
+    pub fn report(&self, listed: &[Zone]) -> EvacuationReport {
+        let is_too_long = self.zones.len() > MAX_REPORTED_ZONES;
+        let is_reported = |zone: &&Zone| !is_too_long || listed.binary_search(zone).is_ok();
+        let zones: Vec<Zone> = self.zones.iter().filter(is_reported).cloned().collect();
+        match zones.len() <= MAX_REPORTED_ZONES {
+            true => EvacuationReport {
+                evacuated_zones: zones,
+                evacuation_version: (self.changed_at > 0).then_some(self.changed_at),
+            },
+            false => EvacuationReport::default(),
         }
     }
 
--- a/crates/membership/tests/evacuation.rs
+++ b/crates/membership/tests/evacuation.rs
@@ -40,7 +40,7 @@
     nothing_is_reported_without_a_request(evacuation) {
         assert!(!evacuation.replace([], 7));
         assert!(!evacuation.apply([], 9));
-        assert_eq!(serde_json::to_string(&evacuation.report()).unwrap(), "{}");
+        assert_eq!(serde_json::to_string(&evacuation.report(&[])).unwrap(), "{}");
         assert!(!evacuation.merge(&serde_json::from_str("{}").unwrap()));
         assert_eq!(evacuation, { let mut read = Evacuation::new(); read.replace([], 9); read });
     }
@@ -50,7 +50,7 @@
         assert_eq!(evacuation.zones(), zones(&["a", "b"]));
         assert!(evacuation.apply([returned("b", 6), evacuated("c", 7)], 8));
         assert_eq!(evacuation.zones(), zones(&["a", "c"]));
-        assert_eq!((evacuation.changed_at(), evacuation.report()), (7, report(&["a", "c"], 7)));
+        assert_eq!((evacuation.changed_at(), evacuation.report(&[])), (7, report(&["a", "c"], 7)));
     }
 
     // A second request for the same zone must not be undone by the report of the first withdrawal.
@@ -68,7 +68,7 @@
         assert!(evacuation.merge(&report(&["b"], 9)));
         assert!(!evacuation.merge(&report(&["b"], 9)));
         assert!(!evacuation.merge(&report(&["a"], 3)));
-        assert_eq!(evacuation.report(), report(&["b"], 9));
+        assert_eq!(evacuation.report(&[]), report(&["b"], 9));
     }
 
     // A removal that a slow reader of the store sees late must not end a later request that a peer
@@ -88,7 +88,7 @@
     full_read_returns_zones_without_a_row(evacuation) {
         evacuation.replace([evacuated("a", 3), evacuated("b", 4)], 5);
         assert!(evacuation.replace([evacuated("b", 4)], 9));
-        assert_eq!(evacuation.report(), report(&["b"], 9));
+        assert_eq!(evacuation.report(&[]), report(&["b"], 9));
     }
 
     // Rows of later pages may be newer than the version of the read, and come again as changes.
@@ -105,16 +105,20 @@
         let mut behind = Evacuation::new();
         behind.replace([evacuated("a", 3)], 4);
         evacuation.replace([], 9);
-        assert!(!evacuation.merge(&behind.report()));
-        assert!(behind.merge(&evacuation.report()));
+        assert!(!evacuation.merge(&behind.report(&[])));
+        assert!(behind.merge(&evacuation.report(&[])));
         assert_eq!(behind.zones(), []);
     }
 
-    // Part of a list would return the other zones to service.
-    list_beyond_the_size_of_a_heartbeat_is_not_reported(evacuation) {
-        let names: Vec<String> = (0..40).map(|index| format!("zone-{index}")).collect();
+    // Mistaken rows must neither make heartbeats too large nor hide the zones that exist. Part of a list
+    // of zones that exist would return the others to service.
+    list_beyond_the_size_of_a_heartbeat_is_reduced_to_zones_of_the_settings(evacuation) {
+        let names: Vec<String> = (10..50).map(|index| format!("zone-{index}")).collect();
         evacuation.replace(names.iter().map(|name| evacuated(name, 3)), 3);
-        assert_eq!(evacuation.report(), EvacuationReport::default());
+        let listed = zones(&["zone-11", "zone-12", "zone-90"]);
+        assert_eq!(evacuation.report(&listed), report(&["zone-11", "zone-12"], 3));
+        let all = evacuation.zones().to_vec();
+        assert_eq!(evacuation.report(&all), EvacuationReport::default());
     }
 
     jobs_of_a_zone_in_service_stay_there(evacuation) {
@@ -194,7 +198,7 @@
                     }
                     2 => {
                         let from = rng.random_range(0..processes.len());
-                        let heard = processes[from].0.report();
+                        let heard = processes[from].0.report(&[]);
                         processes[index].0.merge(&heard);
                     }
                     _ => processes[index] = (Evacuation::new(), None),
@@ -223,7 +227,7 @@
         );
         for _ in 0..3 {
             for from in 0..processes.len() {
-                let heard = processes[from].0.report();
+                let heard = processes[from].0.report(&[]);
                 processes.iter_mut().for_each(|(evacuation, _)| {
                     evacuation.merge(&heard);
                 });
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -9,8 +9,8 @@
 
 use crate::{owner::Owner, shared::Shared};
 
-/// Part of the deadline for an evacuation that is left for a start request to reach its target, which
-/// rejects it 320 ms after it was sent.
+/// Part of the deadline for an evacuation that is left for a start request to reach its target. A target
+/// rejects a request 100 ms after it was sent, by the dispatcher's estimate of the target's clock.
 const START_MARGIN_MS: u64 = 400;
 
 /// Part of the deadline for an evacuation for which a long poll is held open. Should the poll get no
@@ -118,7 +118,8 @@
 
     /// Returns the state for heartbeats.
     pub(crate) fn evacuation_report(&self) -> EvacuationReport {
-        self.evacuation.lock().evacuation.report()
+        let zones = &self.live_settings().zones;
+        self.evacuation.lock().evacuation.report(zones)
     }
 
     /// Returns the zones whose owners may get a job of a caller of this process, best first.
--- a/crates/node/src/zone_route.rs
+++ b/crates/node/src/zone_route.rs
@@ -55,7 +55,7 @@
         let own_zone = &shared.settings.zone;
         let mut zones = shared.serving_zones(&self.refusing, &job.submission().job.id);
         // A zone in the settings may have no processes.
-        zones.retain(|zone| zone == own_zone || shared.ownership.lock().owner_of(zone).is_some());
+        zones.retain(|zone| zone == own_zone || has_processes(shared, zone));
         let is_started = !job.is_unstarted();
         // Only the zone's next owner can adopt the runs of a started job. The own zone always gets an
         // owner, since this process can become it; another one may be cut off.
@@ -97,6 +97,13 @@
     }
 }
 
+/// Returns whether processes of a zone are known, of which one becomes its owner.
+fn has_processes(shared: &Shared, zone: &Zone) -> bool {
+    let ownership = shared.ownership.lock();
+    let mut members = ownership.members().as_slice().iter();
+    members.any(|member| member.is_in_zone(zone))
+}
+
 /// Returns the address of the VM that owns the targets of a zone, and how to reach the owner.
 fn find_owner(shared: &Shared, zone: &Zone) -> NextOwner {
     let now_ms = shared.now_ms();
