Skip critical paths of jobs that are far from being late or given up

Cause: each tick computed the critical path of every queued job to see whether it is late or past its deadline. Change: the sum over the steps, which is at least as long, decides first.

--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -269,7 +269,10 @@
 
     /// Returns the lateness at `now_ms`.
     pub(super) fn lateness_at(&self, now_ms: u64) -> Lateness {
-        match now_ms > self.latest_start_ms() {
+        // The critical path is at most as long as all steps together, which is quicker to compute.
+        let earliest_late_ms =
+            (self.received_at_ms + self.objective_ms).saturating_sub(self.all_steps_ms());
+        match now_ms > earliest_late_ms && now_ms > self.latest_start_ms() {
             false => Lateness::InTime,
             true if self.waiting_work() <= self.total_work() / 100 * KEEPS_PLACE_PERCENT => {
                 Lateness::InTime
@@ -288,6 +291,11 @@
             && !self.has_offloaded()
     }
 
+    /// Returns the expected run time of one task of each step, in ms.
+    pub(super) fn all_steps_ms(&self) -> u64 {
+        self.expected_ms.iter().sum()
+    }
+
     /// Returns the expected run time of the longest task, in ms.
     pub(super) fn longest_ms(&self) -> u64 {
         self.expected_ms.iter().max().copied().unwrap_or(0)
--- a/crates/placement/src/dispatcher/overload.rs
+++ b/crates/placement/src/dispatcher/overload.rs
@@ -320,19 +320,12 @@
                 // given up which would have ended in time.
                 _ => ahead_work.saturating_sub(free_work) / capacity.highest_rate(),
             };
-            let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
+            let deadline_ms = job.caller_deadline_ms();
             let may_give_up = job.phase() == JobPhase::Open
                 && job.submission().part.is_none()
-                && job.has_started();
-            let deadline_ms = job.caller_deadline_ms();
-            let is_unreachable = now_ms + wait_ahead_ms + min_remaining_ms > deadline_ms
-                && (now_ms + min_remaining_ms > deadline_ms
-                    || !self.has_capacity_for(
-                        job,
-                        &self.targets_of(service).collect::<Vec<_>>(),
-                        now_ms,
-                    ));
-            if may_give_up && is_unreachable {
+                && job.has_started()
+                && now_ms + wait_ahead_ms + job.all_steps_ms() > deadline_ms;
+            if may_give_up && self.misses_deadline(job, wait_ahead_ms, now_ms) {
                 unreachable.push((job.id(), wait_ahead_ms));
                 continue;
             }
@@ -341,6 +334,22 @@
         unreachable
     }
 
+    /// Returns whether the waiting tasks of a job cannot end before the deadline of its caller. The wait
+    /// for the work ahead counts only if there is no free capacity for the job.
+    fn misses_deadline(&self, job: &JobState, wait_ahead_ms: u64, now_ms: u64) -> bool {
+        let min_remaining_ms = job.waiting_critical_path_ms() * MIN_RUN_PERCENT / 100;
+        let earliest_end_ms = now_ms + min_remaining_ms;
+        match job.caller_deadline_ms() {
+            deadline_ms if earliest_end_ms > deadline_ms => true,
+            deadline_ms if earliest_end_ms + wait_ahead_ms > deadline_ms => {
+                let service = job.submission().queue.service.as_ref();
+                let targets: Vec<&Target> = self.targets_of(service).collect();
+                !self.has_capacity_for(job, &targets, now_ms)
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the expected queueing time of the last task of a queued job.
     pub(super) fn expected_wait_ms(&self, job: &JobState) -> u64 {
         let entry = job.queue_entry();
