--- a/crates/placement/src/dispatcher/admission.rs
+++ b/crates/placement/src/dispatcher/admission.rs
@@ -118,7 +118,9 @@
         let job = JobState::new(submission, request, expected_ms, objective_ms, now_ms);
         let admission = match self.check_admission(&job, now_ms) {
             // Its caller has returned; a refusal would say that no task has run.
-            Err(_) if job.submission().part.is_none() && self.has_listed_runs(&job) => Ok(Plan::default()),
+            Err(_) if job.submission().part.is_none() && self.has_listed_runs(&job) => {
+                Ok(Plan::default())
+            }
             admission => admission,
         };
         match admission {
--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -202,7 +202,7 @@
                 now_ms + min_remaining_ms.max(ANSWER_MARGIN_MS) > job.caller_deadline_ms()
             };
             job.submission().part.is_none()
-                && misses_deadline(job.expected_ms.iter().sum())
+                && misses_deadline(job.all_steps_ms())
                 && misses_deadline(job.waiting_critical_path_ms())
         });
     }
--- a/crates/placement/src/dispatcher/job_state.rs
+++ b/crates/placement/src/dispatcher/job_state.rs
@@ -247,7 +247,7 @@
     /// Returns whether the job can no longer meet its objective.
     pub(super) fn misses_objective(&self, now_ms: u64) -> bool {
         // The sum over all steps is an upper bound of the critical path that needs no search.
-        let earliest_ms = self.objective_ms.saturating_sub(self.expected_ms.iter().sum());
+        let earliest_ms = self.objective_ms.saturating_sub(self.all_steps_ms());
         now_ms > self.received_at_ms + earliest_ms && now_ms > self.latest_start_ms()
     }
 
@@ -320,6 +320,11 @@
             && !self.has_offloaded()
     }
 
+    /// Returns the expected run time of one task of each step, in ms.
+    pub(super) fn all_steps_ms(&self) -> u64 {
+        self.expected_ms.iter().sum()
+    }
+
     /// Returns the expected run time of the longest task, in ms.
     pub(super) fn longest_ms(&self) -> u64 {
         self.expected_ms.iter().max().copied().unwrap_or(0)
--- a/crates/placement/src/dispatcher/overload.rs
+++ b/crates/placement/src/dispatcher/overload.rs
@@ -343,7 +343,7 @@
         };
         let queued_start_ms = start_ms.max(now_ms + wait_ahead_ms);
         // The sum over all steps is an upper bound of the critical path that needs no search.
-        if !ends_late(queued_start_ms, job.expected_ms.iter().sum()) {
+        if !ends_late(queued_start_ms, job.all_steps_ms()) {
             return false;
         }
         let remaining_ms = job.waiting_critical_path_ms();
