Request listings for overdue runs only beyond the usual spread of run times

Cause: a run that took 40 ms longer than expected caused a listing request every 100 ms until it ended. Change: the margin is half of the expected run time, and 40 ms at least. Result: the new test fails with the former margin and passes now; tests dispatcher, faults and load of ggb-placement pass.

--- a/crates/placement/src/dispatcher/due.rs
+++ b/crates/placement/src/dispatcher/due.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Dispatcher, JobAnswer, JobId, LEASE_EXPIRY_MS, LossCause, RefusalReason, RunEnd, RunPhase,
+    TargetRun,
     dispatcher::{
         MAX_QUEUE_TIME_PERCENT,
         job_state::{JobPhase, JobState},
@@ -27,9 +28,14 @@
 /// The longest tasks take 8 s and progress by one percent every 80 ms.
 const STALL_TIMEOUT_MS: u64 = 300;
 
-/// Time after its expected end at which a run causes a listing request. A target reports an end at
-/// once, so that silence may mean that the report was lost.
-const OVERDUE_MARGIN_MS: u64 = 40;
+/// Minimum time after its expected end at which a run causes a listing request. A target reports an
+/// end at once, so that silence may mean that the report was lost.
+const MIN_OVERDUE_MARGIN_MS: u64 = 40;
+
+/// Value of [`MIN_OVERDUE_MARGIN_MS`] as a share of the expected run time, in percent. Run times spread
+/// by 40% around the estimate; with the minimum alone, a run of 900 ms that takes 40% longer causes three
+/// requests.
+const OVERDUE_MARGIN_PERCENT: u64 = 50;
 
 /// Pause of the process after which other processes may have considered it dead: another VM claims
 /// the targets of an owner that has sent nothing for 450 ms.
@@ -45,6 +51,12 @@
 /// Time for which the answer of a finished job is cached for repeated submissions.
 const ANSWER_RETENTION_MS: u64 = 15_000;
 
+/// Returns the time by which a run should have ended and been listed.
+fn overdue_at_ms(target_run: &TargetRun) -> u64 {
+    let margin_ms = target_run.expected_ms * OVERDUE_MARGIN_PERCENT / 100;
+    target_run.overdue_at_ms(margin_ms.max(MIN_OVERDUE_MARGIN_MS))
+}
+
 impl Dispatcher {
     /// Performs all time-dependent state changes: expires leases, stops stalled and orphaned runs,
     /// closes abandoned jobs, refuses jobs that waited too long, and places tasks.
@@ -139,7 +151,7 @@
                         stalled = true;
                         stops.push((target_index, target_run.run, "no progress"));
                     }
-                    RunPhase::Running if now_ms >= target_run.overdue_at_ms(OVERDUE_MARGIN_MS) => {
+                    RunPhase::Running if now_ms >= overdue_at_ms(target_run) => {
                         listing_requests.push(target_index)
                     }
                     RunPhase::Unanswered if clock_ms > target_run.valid_until_clock_ms => {
--- a/crates/placement/tests/dispatcher.rs
+++ b/crates/placement/tests/dispatcher.rs
@@ -6,6 +6,20 @@
 
 use harness::*;
 
+// Guards against listing requests for each long run that takes somewhat longer than expected; under load
+// they cost an owner as much as the starts.
+#[test]
+fn run_within_the_usual_spread_of_its_run_time_causes_no_listing_request() {
+    let mut harness = Harness::new(&[32]);
+    harness.submit(job(JOB, vec![StepSpec { estimate_ms: 800, ..step(1) }]));
+    let (_, run) = harness.take_starts()[0];
+    harness.apply_start_outcome(0, run, StartOutcome::Accepted);
+    harness.advance(1_150);
+    assert_eq!(harness.take_listing_requests(), Vec::<String>::new());
+    harness.advance(100);
+    assert_ne!(harness.take_listing_requests(), Vec::<String>::new());
+}
+
 cases! {
     job_completes_when_all_runs_are_listed_as_done(harness: [32]) {
         harness.submit(job(JOB, vec![step(2)]));
