Set evacuateMs in the settings of the tests on real processes

Change: the settings of the fleet have the bound. A method of targets in a slow phase is renamed to awaits_probe.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -223,7 +223,7 @@
              portRange = [{PEER_PORT}, {PEER_PORT}]\nseeds = []\n\
              [zones]\nzone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n\
              [listenAddrs]\nfront = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
-             [limits]\ncpuShare = 0.25\ncores = 1\n[bounds]\ngraceS = 6\n\
+             [limits]\ncpuShare = 0.25\ncores = 1\n[bounds]\ngraceS = 6\nevacuateMs = 5000\n\
              [platform]\naddress = \"{store}\"\n"
         )
     }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -242,7 +242,7 @@
             && !self.unreachable
             && !probing
             && now_ms >= self.ejected_until_ms
-            && !self.is_spared(now_ms)
+            && !self.awaits_probe(now_ms)
     }
 
     /// Returns whether the target counts as available capacity for load reports and admission. An
--- a/crates/placement/src/target/speed.rs
+++ b/crates/placement/src/target/speed.rs
@@ -29,10 +29,10 @@
     }
 
     /// Returns whether the target is in a slow phase and gets no task now.
-    pub(super) fn is_spared(&self, now_ms: u64) -> bool {
+    pub(super) fn awaits_probe(&self, now_ms: u64) -> bool {
         self.speed.is_slow() && {
             let latest_start_ms = self.runs.iter().map(|run| run.start_sent_at_ms).max();
-            self.speed.is_spared(latest_start_ms, now_ms)
+            self.speed.awaits_probe(latest_start_ms, now_ms)
         }
     }
 
--- a/crates/placement/src/target_speed.rs
+++ b/crates/placement/src/target_speed.rs
@@ -120,7 +120,7 @@
 
     /// Returns whether a target in a slow phase gets no task now, given the start of its latest run. One
     /// task at a time probes it.
-    pub(crate) fn is_spared(&self, latest_start_ms: Option<u64>, now_ms: u64) -> bool {
+    pub(crate) fn awaits_probe(&self, latest_start_ms: Option<u64>, now_ms: u64) -> bool {
         self.slow_phase.is_some_and(|phase| {
             now_ms < phase.since_ms + phase.probe_interval_ms
                 || latest_start_ms.is_some_and(|start_ms| start_ms >= phase.since_ms)
