Show that a late message of a replaced process starts tasks a second time

Part of a job is held up by a zone partition and its sender is killed and restarted. The part arrives 2.95 s late and is accepted as fresh, since the delay of a former incarnation's messages is not known. The job, sent again 1.3 s after its connection broke, runs at the same time in another zone.

--- a/review/lab3.py
+++ b/review/lab3.py
@@ -376,6 +376,85 @@
                      "finished": self.finished[:500]}
 
 
+# Links between the machines
+
+# Time after the end of a cut at which TCP delivers bytes that were held up, by its next retransmission: the
+# pauses between retransmissions double, from 200 ms on.
+RETRANSMISSION_MS = 1000
+# Time from such bytes to the end of the stream, which follows them when they have been acknowledged.
+ROUND_TRIP_MS = 1
+
+
+class Links:
+    """Forwards what the machines send to each other, and holds it up or drops it while a link is cut."""
+
+    def __init__(self):
+        self.cut = set()  # (sender, receiver), names of machines
+        self.names = {}  # names of machines by their addresses
+
+    def cut_between(self, some, others):
+        """Cuts the ways between two groups of machines, in both directions."""
+        for one in some:
+            for other in others:
+                self.cut.update([(one.name, other.name), (other.name, one.name)])
+
+    def heal(self):
+        self.cut.clear()
+
+    async def add(self, node):
+        """Listens at the address that a machine's peers use, for the one that it binds."""
+        self.names[node.bind_ip] = self.names[node.ip] = node.name
+        links = self
+
+        class Datagrams(asyncio.DatagramProtocol):
+            def connection_made(self, transport):
+                self.transport = transport
+
+            def datagram_received(self, data, addr):
+                if (links.names.get(addr[0]), node.name) not in links.cut:
+                    self.transport.sendto(data, (node.bind_ip, PORTS["peer"]))
+
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            Datagrams, local_addr=(node.ip, PORTS["peer"]))
+
+        async def connection(reader, writer):
+            peer = self.names.get(writer.get_extra_info("peername")[0])
+            await self.wait_for_way(peer, node.name)
+            try:
+                to_reader, to_writer = await asyncio.open_connection(node.bind_ip, PORTS["peer"])
+            except OSError:
+                writer.close()
+                return
+            await asyncio.gather(self.copy(reader, to_writer, peer, node.name),
+                                 self.copy(to_reader, writer, node.name, peer))
+
+        return await asyncio.start_server(connection, node.ip, PORTS["peer"])
+
+    async def wait_for_way(self, sender, receiver):
+        """Waits until a link is not cut. Returns whether it was."""
+        was_cut = False
+        while (sender, receiver) in self.cut:
+            was_cut = True
+            await asyncio.sleep(0.005)
+        if was_cut:
+            await asyncio.sleep(RETRANSMISSION_MS / 1000.0)
+        return was_cut
+
+    async def copy(self, reader, writer, sender, receiver):
+        try:
+            while data := await reader.read(65536):
+                was_held_up = await self.wait_for_way(sender, receiver)
+                writer.write(data)
+                await writer.drain()
+                if was_held_up:
+                    await asyncio.sleep(ROUND_TRIP_MS / 1000.0)
+            await self.wait_for_way(sender, receiver)
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
 # The system
 
 SETTINGS = """nodeName = "{name}"
@@ -466,6 +545,9 @@
     def __init__(self, lab, name, zone, ip, ports):
         self.lab, self.name, self.zone, self.ip, self.ports = lab, name, zone, ip, ports
         self.process = None
+        # Address that the process binds for its peers; another one where links stand between them.
+        first, _, last = ip.rpartition(".")
+        self.bind_ip = f"{first}.{int(last) + 50}" if lab.links else ip
 
     @property
     def front(self):
@@ -482,6 +564,8 @@
                                        store=lab.store_addr))
         keep = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env = {**keep, **lab.role.get("env", {}), "GREENGAGEBEAM_NODE_FILE": path}
+        if self.bind_ip != self.ip:
+            env["GGB_BIND_IP"] = self.bind_ip
         log = open(os.path.join(lab.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             *lab.role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log)
@@ -496,7 +580,7 @@
         return answer.status == 200
 
     async def is_owner(self):
-        answer = await request((self.ip, METRICS_PORT), "GET", "/status", "status", timeout_s=1.0)
+        answer = await request((self.bind_ip, METRICS_PORT), "GET", "/status", "status", timeout_s=1.0)
         return bool(answer.body) and answer.body.get("details", {}).get("claim") is not None
 
 
@@ -523,8 +607,9 @@
 class Lab:
     """A deployment: machines of the system by zone, executors by zone, and the store."""
 
-    def __init__(self, folder_of_case, nodes, executors, routes, services=None):
+    def __init__(self, folder_of_case, nodes, executors, routes, services=None, links=None):
         self.case = folder_of_case
+        self.links = links
         self.zones = sorted(nodes)
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-3-")
@@ -571,6 +656,8 @@
             self.tasks.append(asyncio.create_task(executor.heartbeats(self.store)))
             self.tasks.append(asyncio.create_task(executor.clockwork()))
         self.configure()
+        for node in self.nodes if self.links else []:
+            self.servers.append(await self.links.add(node))
         for node in self.nodes:
             await node.start()
         await self.wait_until(self.all_ready, 15.0, "all machines are ready")
