--- a/review/lab3.py
+++ b/review/lab3.py
@@ -1,4 +1,4 @@
-"""Stand-ins and checks of review cases 11 to 15.
+"""Stand-ins and checks of review cases 11 to 14.
 
 The platform's store, executors and clients are small asyncio programs in this process. The project's
 program runs as separate processes, with the command and the environment of deploy/system.toml. All
@@ -154,8 +154,6 @@
         self.rows = {}
         self.version = 0
         self.changed = asyncio.Event()
-        # Addresses of machines that the store turns away with 503.
-        self.rejected = set()
 
     def put(self, table, key, value):
         self.version += 1
@@ -246,7 +244,6 @@
         self.id, self.zone, self.addr, self.service = name, zone, (ip, port), service
         self.record, self.cpu = record, cpu
         self.runs = []  # all runs of all incarnations, for the checks
-        self.orders = []  # (ms, call, body), for the checks
         self.start_anew()
 
     def start_anew(self):
@@ -607,8 +604,7 @@
 class Lab:
     """A deployment: machines of the system by zone, executors by zone, and the store."""
 
-    def __init__(self, folder_of_case, nodes, executors, routes, services=None, links=None):
-        self.case = folder_of_case
+    def __init__(self, folder_of_case, nodes, executors, routes, links=None):
         self.links = links
         self.zones = sorted(nodes)
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
@@ -632,7 +628,7 @@
             for index, zone in enumerate(self.zones)
             for number, service in enumerate(executors[zone])]
         self.version = 1
-        self.routes, self.services = routes, services or [SERVICE]
+        self.routes = routes
         self.tasks = []
         self.servers = []
 
@@ -641,7 +637,7 @@
             "version": self.version, "routes": self.routes,
             "services": [{"name": name, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1",
                           "tls": False, "enforcesCapacity": True, "spare": False}
-                         for name in self.services],
+                         for name in [SERVICE]],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
         })
@@ -715,8 +711,19 @@
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The case then ends the processes that it started.
+            loop.add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(folder, trouble), limit_s)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case(folder, trouble), limit_s))
+        broken = asyncio.run(run())
+    except asyncio.CancelledError:
+        print("the case was stopped")
+        sys.exit(2)
     except Exception as error:  # the case couldn't run
         print(f"the case couldn't run: {type(error).__name__}: {error}")
         sys.exit(2)
