--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -388,7 +388,8 @@
         index.is_ok_and(|index| std::mem::take(&mut self.peers[index].awaits_answer))
     }
 
-    pub(crate) fn find_peer(&self, name: &str) -> Option<&PeerState> {
+    /// Returns the peer on the VM `name`, if a heartbeat of it has arrived.
+    pub fn find_peer(&self, name: &str) -> Option<&PeerState> {
         let compare_name = |peer: &PeerState| peer.heartbeat.node.name.as_str().cmp(name);
         let index = self.peers.binary_search_by(compare_name).ok()?;
         Some(&self.peers[index])
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -135,7 +135,7 @@
     }
     let JobMessage { sender, mut submission, configuration_version } = message;
     fetch_configuration_if_newer(shared, &sender, configuration_version);
-    let delay_ms = shared.ownership.lock().delay_ms(&sender, shared.now_ms()).unwrap_or(0);
+    let delay_ms = message_delay_ms(shared, &sender, &submission).unwrap_or(0);
     if delay_ms > REPLY_TIMEOUT_MS {
         // The sender no longer waits, and may have sent the job to another owner.
         log_event!(warn, PeerMessageLate, job = %submission.job.id, peer = sender.name, delay_ms);
@@ -160,6 +160,28 @@
     }
 }
 
+/// Returns the delay of a job from a peer, or `None` if it can't be told.
+fn message_delay_ms(
+    shared: &Shared,
+    sender: &MessageSender,
+    submission: &Submission,
+) -> Option<u64> {
+    let now_ms = shared.now_ms();
+    let ownership = shared.ownership.lock();
+    let delay_ms = ownership.delay_ms(sender, now_ms);
+    if delay_ms.is_none() {
+        let heard = ownership.find_peer(&sender.name);
+        log_event!(
+            info, PeerMessageUndated, job = %submission.job.id, part = submission.part,
+            peer = sender.name, incarnation = sender.incarnation, clock_ms = sender.clock_ms,
+            heard_incarnation = heard.map(|peer| peer.heartbeat.incarnation),
+            heard_since_ms = heard.map(|peer| now_ms - peer.incarnation_since_ms),
+            heard_ms_ago = heard.map(|peer| now_ms - peer.last_heartbeat_ms)
+        );
+    }
+    delay_ms
+}
+
 /// Fetches the configuration under which a peer has sent a job, if it is newer than the own one.
 fn fetch_configuration_if_newer(shared: &Arc<Shared>, sender: &MessageSender, peer_version: u64) {
     let own_version = shared.configuration_version();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -141,9 +141,10 @@
         let caller_addr = shared.settings.caller_addr;
         let callers = bind_callers(Arc::clone(&shared), caller_addr).await;
         let callers = callers.change_context_lazy(bind_error("callers", caller_addr))?;
+        let incarnation = shared.ownership.lock().message_sender(0).incarnation;
         log_event!(
             info, Started, vm = shared.settings.name, zone = %shared.settings.zone,
-            callers = %caller_addr
+            callers = %caller_addr, incarnation
         );
         Ok(NodeProcess { shared, settings_file, callers, _servers: (peer_api, ready, operator) })
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -193,6 +193,8 @@
     ConnectionSilent = 689,
     /// Number of log lines that were dropped to limit their volume.
     LinesDropped = 690,
+    /// The age of a peer's message is not known; the fields tell the incarnation of its sender from the one heard last.
+    PeerMessageUndated = 691,
 }
 
 /// Logs an [`Event`] of a job, at level `info` if the job is sampled and at `debug` otherwise.
