Move the messages of membership into a module of their own

Change: Node, Heartbeat, MessageSender and KnownClaim move to heartbeat.rs as they are. Measured: cargo check and the tests of the crate, nothing else changes.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -34,6 +34,7 @@
 
 mod evacuation;
 mod gossip;
+mod heartbeat;
 mod members;
 mod ownership;
 mod peer_clock;
@@ -46,11 +47,9 @@
 pub use crate::{
     evacuation::{Evacuation, EvacuationReport, EvacuationRow},
     gossip::VersionGossip,
+    heartbeat::{Heartbeat, KnownClaim, MessageSender, Node},
     members::{Member, Members},
-    ownership::{
-        HEARTBEAT_INTERVAL_MS, Heartbeat, KnownClaim, MessageSender, Node, OWNER_TIMEOUT_MS,
-        Ownership, OwnershipChange, PeerState,
-    },
+    ownership::{HEARTBEAT_INTERVAL_MS, OWNER_TIMEOUT_MS, Ownership, OwnershipChange, PeerState},
     peer_clock::PeerClock,
     recipients::{MAX_HEARTBEAT_BYTES, MAX_ZONE_MEMBERS, Recipient, Recipients},
     rendezvous::rank_by_rendezvous,
