Date jobs from other processes by a reading of the recipient's clock

Cause: the age of a job was estimated from heartbeats of its sender. For a sender that was replaced, was never heard, or has not been heard yet there is no estimate, and 0 stood in for it.

Evidence: event 691 on the unchanged logic has the killed process's incarnation in the message, and its successor's as the one heard last; no 686.

Change: jobs carry a time that the recipient's clock had reached when they were sent, from the recipient's heartbeats. The difference to the recipient's own clock is an upper limit of the age, whoever sent the job. A job that may be older than 600 ms is not taken; the reply has a new reading, with which a sender that still waits checks its caller and sends it again. So first jobs of new VMs cost a round trip and are not turned away. Leases are dated by the same limit, so they only get shorter.

--- a/crates/greengagebeam/tests/fleet/mod.rs
+++ b/crates/greengagebeam/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use ggb_http::{ClientOptions, HttpClient, Reply};
-use ggb_membership::MessageSender;
+use ggb_membership::{MessageSender, RecipientTime};
 use ggb_placement::Capacity;
 use ggb_standin::{Relay, RunRecord, RunSpec, RunTargetStandin, StoreStandin};
 use http_types::{Method, StatusCode};
@@ -47,6 +47,16 @@
     pub targets_per_zone: u8,
 }
 
+/// A job that a test sends as a peer would.
+pub struct PeerJob {
+    pub sender: MessageSender,
+    pub job: u64,
+    /// Number of the part, if it is part of a job.
+    pub part: Option<u64>,
+    /// What the sender knows of the recipient's clock; `None` from a build that does not report it.
+    pub recipient_time: Option<RecipientTime>,
+}
+
 pub struct Node {
     pub zone: u8,
     /// Address to which peers and callers connect.
@@ -305,14 +315,10 @@
     }
 
     /// Submits a job of one task to a node as a peer would; returns the answer.
-    pub async fn submit_as_peer(
-        &self,
-        sender: &MessageSender,
-        node: SocketAddr,
-        job: u64,
-    ) -> Value {
+    pub async fn submit_as_peer(&self, node: SocketAddr, message: &PeerJob) -> Value {
+        let PeerJob { sender, job, part, recipient_time } = message;
         let run_spec = run_spec(10);
-        let message = json!({
+        let mut message = json!({
             "sender": sender,
             "submission": {
                 "job": {
@@ -327,10 +333,13 @@
                     "name": "q", "service": "svc", "priority": 0, "max_attempts": 3,
                     "stretch": 1.6, "target_latency_ms": 30_000,
                 },
-                "earlier_runs": "none", "part": null, "done": [], "held_under": null,
+                "earlier_runs": "none", "part": part, "done": [], "held_under": null,
                 "waited_ms": 0, "deadline_ms": 10_000,
             },
         });
+        if let Some(recipient_time) = recipient_time {
+            message["recipient_time"] = json!(recipient_time);
+        }
         let request =
             self.client.post(node, "/jobs", message.to_string().into_bytes(), WAIT_TIMEOUT_MS);
         let reply = request.await.expect("the node responds");
--- a/crates/greengagebeam/tests/node.rs
+++ b/crates/greengagebeam/tests/node.rs
@@ -15,7 +15,7 @@
 };
 
 use async_std::{net::UdpSocket, task};
-use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, Target, job_state, run_spec};
+use fleet::{Fleet, FleetSize, PATH_PREFIX, PEER_PORT, PeerJob, Target, job_state, run_spec};
 use futures::future::{join, join_all};
 use ggb_http::Reply;
 use ggb_membership::{MAX_HEARTBEAT_BYTES, Node, Ownership};
@@ -493,7 +493,10 @@
             zone: "zone-0".parse().unwrap(),
             cpu_milli: 1,
         };
-        let sender = |clock_ms| Ownership::new(peer.clone(), 7, 0).message_sender(clock_ms);
+        let job_sent_at = |clock_ms, job| {
+            let sender = Ownership::new(peer.clone(), 7, 0).message_sender(clock_ms);
+            PeerJob { sender, job, part: None, recipient_time: None }
+        };
         let heartbeat = Ownership::new(peer.clone(), 7, 0).heartbeat(100_000);
         let node = SocketAddr::new(fleet.nodes[0].ip, PEER_PORT);
         let socket = UdpSocket::bind("127.65.0.9:0").await.unwrap();
@@ -502,11 +505,11 @@
         let late_job = Cell::new(0);
         fleet.wait_until("a late job is not taken", || async {
             late_job.set(late_job.get() + 1);
-            let answer = fleet.submit_as_peer(&sender(90_000), node, late_job.get()).await;
+            let answer = fleet.submit_as_peer(node, &job_sent_at(90_000, late_job.get())).await;
             answer == json!({ "answered": "not_taken" })
         }).await;
         fleet.wait_until("a job that was just sent is completed", || async {
-            fleet.submit_as_peer(&sender(10_000_000), node, 0xbbbb).await
+            fleet.submit_as_peer(node, &job_sent_at(10_000_000, 0xbbbb)).await
                 == json!({ "answered": "completed" })
         }).await;
         let late_job = format!("{:016x}", late_job.get());
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! [`Ownership`] elects the VM that controls the targets of an availability zone. Its claim carries a
 //! fencing token that no other VM derives. [`Members`] are the processes that it exchanges heartbeats
-//! with, and [`PeerClock`] detects delayed messages of peers. [`rank_by_rendezvous`] orders processes
+//! with, and [`RecipientTime`] dates their messages. [`rank_by_rendezvous`] orders processes
 //! without coordination. [`Evacuation`] holds the zones that operators have asked to evacuate.
 //!
 //! # Example
@@ -36,6 +36,7 @@
 mod gossip;
 mod heartbeat;
 mod members;
+mod message_age;
 mod ownership;
 mod peer_clock;
 mod recipients;
@@ -49,6 +50,7 @@
     gossip::VersionGossip,
     heartbeat::{Heartbeat, KnownClaim, MessageSender, Node},
     members::{Member, Members},
+    message_age::{ClockReading, RecipientTime},
     ownership::{HEARTBEAT_INTERVAL_MS, OWNER_TIMEOUT_MS, Ownership, OwnershipChange, PeerState},
     peer_clock::PeerClock,
     recipients::{MAX_HEARTBEAT_BYTES, MAX_ZONE_MEMBERS, Recipient, Recipients},
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -74,6 +74,10 @@
     pub const fn is_alive(&self, now_ms: u64) -> bool {
         now_ms < self.last_heartbeat_ms + OWNER_TIMEOUT_MS
     }
+
+    pub(crate) const fn clock(&self) -> &PeerClock {
+        &self.clock
+    }
 }
 
 /// State of this VM's claim.
@@ -171,6 +175,10 @@
         &self.members
     }
 
+    pub(crate) const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     pub(crate) const fn highest_token(&self) -> u64 {
         self.highest_token
     }
--- a/crates/membership/src/peer_clock.rs
+++ b/crates/membership/src/peer_clock.rs
@@ -1,9 +1,14 @@
 //! Estimation of message delays between the unsynchronized clocks of peers.
 
+use crate::ClockReading;
+
 /// The drift between two monotonic clocks is assumed to be at most the elapsed time divided by
 /// this number, which is 2%.
 const DRIFT_DIVISOR: u64 = 50;
 
+/// Largest error of the difference of two clock readings, which are whole milliseconds.
+const ROUNDING_MS: u64 = 2;
+
 /// Estimate of the offset between a peer's monotonic clock and the local one.
 ///
 /// The smallest offset among the messages of the peer, adjusted for drift, is that of the
@@ -29,15 +34,26 @@
     pub fn record_message(&mut self, incarnation: u64, sent_clock_ms: u64, now_ms: u64) {
         let sample = PeerClock::new(incarnation, sent_clock_ms, now_ms);
         if incarnation == self.incarnation {
-            let drift_ms = now_ms.saturating_sub(self.last_message_ms).div_ceil(DRIFT_DIVISOR);
-            let max_offset_ms = self.offset_ms.saturating_add_unsigned(drift_ms);
-            let offset_ms = sample.offset_ms.min(max_offset_ms);
+            let offset_ms = sample.offset_ms.min(self.max_offset_ms(now_ms));
             *self = PeerClock { offset_ms, ..sample };
         } else {
             *self = sample;
         }
     }
 
+    /// Returns a time that the peer's clock has reached at `now_ms`, by the clocks' offset and drift.
+    pub fn reading(&self, now_ms: u64) -> ClockReading {
+        let clock_ms = now_ms.cast_signed().saturating_sub(self.max_offset_ms(now_ms));
+        let clock_ms = u64::try_from(clock_ms).unwrap_or(0).saturating_sub(ROUNDING_MS);
+        ClockReading { incarnation: self.incarnation, clock_ms }
+    }
+
+    /// Returns the offset to which the clocks may have drifted since the last message.
+    const fn max_offset_ms(&self, now_ms: u64) -> i64 {
+        let drift_ms = now_ms.saturating_sub(self.last_message_ms).div_ceil(DRIFT_DIVISOR);
+        self.offset_ms.saturating_add_unsigned(drift_ms)
+    }
+
     /// Returns the additional delay of a message over the fastest one.
     ///
     /// Returns `None` if the message is from another incarnation of the peer.
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -215,6 +215,7 @@
     let answer_by_ms = routed_job.submission().deadline_ms.saturating_sub(ANSWER_MARGIN_MS);
     let max_owner_wait_ms = MAX_OWNER_WAIT_MS.min(answer_by_ms);
     let mut zone_route = ZoneRoute::new(shared);
+    let mut clock_reading = None;
     let mut refusal =
         JobAnswer::Refused { reason: RefusalReason::Evacuated, retry_after_ms: 1_000 };
     loop {
@@ -239,10 +240,18 @@
                     Ok(JobReply::Answered(answer.await))
                 }
                 OwnerLocation::Remote => {
-                    send_job(shared, shared.peer_addr(ip), submission, now_ms).await
+                    send_job(shared, ip, submission, now_ms, clock_reading).await
                 }
             };
+            let had_reading = clock_reading.take().is_some();
             match reply {
+                Ok(JobReply::Resend { clock }) => {
+                    routed_job.mark_not_taken();
+                    clock_reading = Some(clock);
+                    if !had_reading {
+                        continue;
+                    }
+                }
                 Ok(JobReply::Pending { claim }) => {
                     routed_job.mark_held_by(claim);
                     continue;
--- a/crates/node/src/lending.rs
+++ b/crates/node/src/lending.rs
@@ -66,7 +66,7 @@
     let Some(remote_owner) = remote_owner else {
         return PartEnd::Settled(PartOutcome::Refused);
     };
-    let addr = shared.peer_addr(remote_owner);
+    let mut clock_reading = None;
     let mut routed_job = RoutedJob::new(submission.clone());
     loop {
         let now_ms = shared.now_ms();
@@ -74,11 +74,18 @@
         let checked_at_ms = owner.caller_checked_at_ms(submission.job.id).unwrap_or(0);
         let submission = routed_job
             .submission_after(now_ms - received_at_ms, now_ms.saturating_sub(checked_at_ms));
-        let outcome = match send_job(shared, addr, submission, now_ms).await {
+        let reply = send_job(shared, remote_owner, submission, now_ms, clock_reading).await;
+        let had_reading = clock_reading.take().is_some();
+        let outcome = match reply {
             Ok(JobReply::Pending { claim }) => {
                 routed_job.mark_held_by(claim);
                 continue;
             }
+            Ok(JobReply::Resend { clock }) if !had_reading => {
+                routed_job.mark_not_taken();
+                clock_reading = Some(clock);
+                continue;
+            }
             Ok(JobReply::Answered(JobAnswer::Returned { done })) => {
                 return PartEnd::Returned { done };
             }
@@ -92,6 +99,7 @@
                 | JobAnswer::NotTaken
                 | JobAnswer::Unknown,
             ))
+            | Ok(JobReply::Resend { .. })
             | Err(Sent::Maybe) => {
                 log_event!(warn, RequestResumed, job = %submission.job.id, zone = %zone);
                 PartOutcome::Lost
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -1,7 +1,7 @@
 //! HTTP interface between the processes: jobs, configuration and target list.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -10,7 +10,7 @@
 use ggb_http::{
     ClientConnection, HttpServer, Sent, ServerLimits, json_response, json_text_response, read_body,
 };
-use ggb_membership::MessageSender;
+use ggb_membership::{ClockReading, MessageSender, RecipientTime};
 use ggb_placement::{ClaimId, JobAnswer, Submission, TargetInfo};
 use ggb_telemetry::log_event;
 use http_types::{Method, Request, Response, StatusCode};
@@ -51,6 +51,12 @@
         #[serde(rename = "token")]
         claim: ClaimId,
     },
+    /// The job was not taken, since it may have been sent too long ago. The sender sends it again with
+    /// this reading of the recipient's clock, if it still waits.
+    Resend {
+        /// The recipient's clock at the time of the reply.
+        clock: ClockReading,
+    },
 }
 
 /// The list of targets as a process knows it.
@@ -72,6 +78,9 @@
     /// Version of the sender's configuration; 0 if the sender does not tell.
     #[serde(default)]
     configuration_version: u64,
+    /// What the sender knew of the recipient's clock at the time to which the ages in the submission refer.
+    #[serde(default)]
+    recipient_time: RecipientTime,
 }
 
 /// Starts the HTTP server for other processes on `addr`.
@@ -133,18 +142,27 @@
     if connection.as_ref().is_some_and(ClientConnection::is_closed) {
         return Response::new(StatusCode::RequestTimeout);
     }
-    let JobMessage { sender, mut submission, configuration_version } = message;
+    let JobMessage { sender, mut submission, configuration_version, recipient_time } = message;
     fetch_configuration_if_newer(shared, &sender, configuration_version);
-    let delay_ms = message_delay_ms(shared, &sender, &submission).unwrap_or(0);
-    if delay_ms > REPLY_TIMEOUT_MS {
-        // The sender no longer waits, and may have sent the job to another owner.
-        log_event!(warn, PeerMessageLate, job = %submission.job.id, peer = sender.name, delay_ms);
-        return json_response(StatusCode::Ok, &JobReply::Answered(JobAnswer::NotTaken));
-    }
+    let now_ms = shared.now_ms();
+    let max_age_ms = shared.ownership.lock().max_message_age_ms(&sender, recipient_time, now_ms);
+    let max_age_ms = match max_age_ms {
+        Some(max_age_ms) if max_age_ms <= REPLY_TIMEOUT_MS => max_age_ms,
+        _ => {
+            log_stale_job(shared, &sender, &submission, recipient_time, max_age_ms);
+            let reply = match recipient_time {
+                RecipientTime::NotReported => JobReply::Answered(JobAnswer::NotTaken),
+                RecipientTime::Unknown | RecipientTime::AtLeast(_) => {
+                    JobReply::Resend { clock: shared.ownership.lock().clock_reading(now_ms) }
+                }
+            };
+            return json_response(StatusCode::Ok, &reply);
+        }
+    };
     let Some(owner) = shared.owner.load_full() else {
         return json_response(StatusCode::Ok, &JobReply::Answered(JobAnswer::NotTaken));
     };
-    submission.caller_check_age_ms = submission.caller_check_age_ms.saturating_add(delay_ms);
+    submission.caller_check_age_ms = submission.caller_check_age_ms.saturating_add(max_age_ms);
     let max_delay_ms = match submission.part {
         Some(_) => MAX_PART_REPLY_DELAY_MS,
         None => MAX_REPLY_DELAY_MS,
@@ -160,26 +178,34 @@
     }
 }
 
-/// Returns the delay of a job from a peer, or `None` if it can't be told.
-fn message_delay_ms(
+/// Logs a job that is not taken because its age is unknown or too high.
+fn log_stale_job(
     shared: &Shared,
     sender: &MessageSender,
     submission: &Submission,
-) -> Option<u64> {
-    let now_ms = shared.now_ms();
-    let ownership = shared.ownership.lock();
-    let delay_ms = ownership.delay_ms(sender, now_ms);
-    if delay_ms.is_none() {
-        let heard = ownership.find_peer(&sender.name);
-        log_event!(
-            info, PeerMessageUndated, job = %submission.job.id, part = submission.part,
-            peer = sender.name, incarnation = sender.incarnation, clock_ms = sender.clock_ms,
-            heard_incarnation = heard.map(|peer| peer.heartbeat.incarnation),
-            heard_since_ms = heard.map(|peer| now_ms - peer.incarnation_since_ms),
-            heard_ms_ago = heard.map(|peer| now_ms - peer.last_heartbeat_ms)
-        );
+    recipient_time: RecipientTime,
+    max_age_ms: Option<u64>,
+) {
+    let job = &submission.job.id;
+    let part = submission.part;
+    match max_age_ms {
+        Some(max_age_ms) => {
+            log_event!(warn, PeerMessageLate, job = %job, part, peer = sender.name, max_age_ms);
+        }
+        None => {
+            let now_ms = shared.now_ms();
+            let ownership = shared.ownership.lock();
+            let heard = ownership.find_peer(&sender.name);
+            log_event!(
+                info, PeerMessageUndated, job = %job, part, peer = sender.name,
+                incarnation = sender.incarnation, clock_ms = sender.clock_ms,
+                recipient_time = ?recipient_time,
+                heard_incarnation = heard.map(|peer| peer.heartbeat.incarnation),
+                heard_since_ms = heard.map(|peer| now_ms - peer.incarnation_since_ms),
+                heard_ms_ago = heard.map(|peer| now_ms - peer.last_heartbeat_ms)
+            );
+        }
     }
-    delay_ms
 }
 
 /// Fetches the configuration under which a peer has sent a job, if it is newer than the own one.
@@ -193,8 +219,10 @@
     }
 }
 
-/// Sends a job to the owner at `addr` and returns the owner's reply. `sent_at_ms` is the time to which
-/// the ages in the submission refer.
+/// Sends a job to the owner at `ip` and returns the owner's reply.
+///
+/// `sent_at_ms` is the time to which the ages in the submission refer. `reading` is a reading of the owner's
+/// clock from before that time, if the owner sent one in its last reply.
 ///
 /// # Errors
 ///
@@ -202,15 +230,24 @@
 /// the job.
 pub(crate) async fn send_job(
     shared: &Shared,
-    addr: SocketAddr,
+    ip: IpAddr,
     submission: &Submission,
     sent_at_ms: u64,
+    reading: Option<ClockReading>,
 ) -> Result<JobReply, Sent> {
-    let sender = shared.ownership.lock().message_sender(sent_at_ms);
+    let (sender, recipient_time) = {
+        let ownership = shared.ownership.lock();
+        let recipient_time = match reading {
+            Some(reading) => RecipientTime::AtLeast(reading),
+            None => ownership.recipient_time(ip, sent_at_ms),
+        };
+        (ownership.message_sender(sent_at_ms), recipient_time)
+    };
     let configuration_version = shared.configuration_version();
-    let message = JobMessage { sender, submission, configuration_version };
+    let message = JobMessage { sender, submission, configuration_version, recipient_time };
     let body = serde_json::to_vec(&message)
         .expect("a submission serializes to JSON because its map keys are strings");
+    let addr = shared.peer_addr(ip);
     let result = shared.http.post(addr, "/jobs", body, REPLY_TIMEOUT_MS).await;
     let reply = result.map_err(|error| error.current_context().sent())?;
     serde_json::from_slice(&reply.body).map_err(|error| {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -183,7 +183,7 @@
     SettingsInvalid = 684,
     /// A message of a peer can't be decoded and is ignored.
     PeerMessageInvalid = 685,
-    /// A message of a peer arrived after its sender had timed out and was rejected.
+    /// A job of a peer may be older than its sender waits and was not taken; the sender, if it still waits, sends it again.
     PeerMessageLate = 686,
     /// A newer configuration could not be fetched from the peer that reported it.
     PeerConfigurationMissing = 687,
@@ -193,7 +193,7 @@
     ConnectionSilent = 689,
     /// Number of log lines that were dropped to limit their volume.
     LinesDropped = 690,
-    /// The age of a peer's message is not known; the fields tell the incarnation of its sender from the one heard last.
+    /// The age of a job of a peer is not known, so that it was not taken; the sender, if it still waits, sends it again.
     PeerMessageUndated = 691,
 }
 
