Ignore late heartbeats of processes that were replaced

What callers could see: a zone's owner that its peers no longer see, and jobs sent to a process whose claim is gone, after a heartbeat of its former process arrives late.

Cause: a heartbeat of any other incarnation counted as later than the last one. Incarnations have no order.

Change: while the process heard last is alive, another incarnation counts only if its heartbeat was sent after the last one arrived, by a reading of the recipient's clock that answers carry. The load of a heartbeat that does not count is ignored.

--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -5,6 +5,8 @@
 use ggb_model::Zone;
 use serde::{Deserialize, Serialize};
 
+use crate::ClockReading;
+
 /// An entry VM as it describes itself to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -60,13 +62,10 @@
     /// started.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub known_token: Option<u64>,
-}
-
-impl Heartbeat {
-    /// Returns whether the same process sent this heartbeat after `other`.
-    pub(crate) const fn is_later_than(&self, other: &Heartbeat) -> bool {
-        self.incarnation == other.incarnation && self.clock_ms > other.clock_ms
-    }
+    /// Time that the recipient's clock had reached when this heartbeat was sent, in answers to first
+    /// heartbeats.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub recipient_clock: Option<ClockReading>,
 }
 
 /// Sender of a message to a peer, and the time of sending.
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -65,8 +65,10 @@
     /// Local time at which the first heartbeat of the peer's current incarnation arrived.
     pub incarnation_since_ms: u64,
     clock: PeerClock,
-    /// Whether the first heartbeat of the current incarnation was not answered yet.
+    /// Whether the first heartbeat of the current incarnation, or of `unproven`, was not answered yet.
     awaits_answer: bool,
+    /// The last other incarnation of which a heartbeat arrived that may have been held up.
+    unproven: Option<u64>,
 }
 
 impl PeerState {
@@ -78,6 +80,32 @@
     pub(crate) const fn clock(&self) -> &PeerClock {
         &self.clock
     }
+
+    /// Returns whether a heartbeat shows a later state of the peer than the last one, to the process
+    /// with the incarnation `recipient`.
+    ///
+    /// While a process is alive, a heartbeat of another incarnation may come from one that it has replaced, unless
+    /// it was sent after the last heartbeat arrived.
+    fn is_superseded_by(&self, heartbeat: &Heartbeat, recipient: u64, now_ms: u64) -> bool {
+        match heartbeat.recipient_clock {
+            _ if heartbeat.incarnation == self.heartbeat.incarnation => {
+                heartbeat.clock_ms >= self.heartbeat.clock_ms
+            }
+            _ if !self.is_alive(now_ms) => true,
+            Some(sent_after) if sent_after.incarnation == recipient => {
+                sent_after.clock_ms > self.last_heartbeat_ms
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    /// Records that a heartbeat of another incarnation arrived that may have been held up. The answer gives the sender
+    /// the time that proves the next one.
+    fn record_unproven(&mut self, incarnation: u64) {
+        if self.unproven.replace(incarnation) != Some(incarnation) {
+            self.awaits_answer = true;
+        }
+    }
 }
 
 /// State of this VM's claim.
@@ -243,11 +271,27 @@
         std::mem::replace(&mut self.claim_state, ClaimState::Follower) != ClaimState::Follower
     }
 
-    /// Records the heartbeat of a peer; heartbeats of this VM are ignored.
-    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now_ms: u64) {
+    /// Records the heartbeat of a peer; heartbeats of this VM are ignored. Returns whether it shows a later state of the
+    /// peer than the last one.
+    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now_ms: u64) -> bool {
         if heartbeat.node.name == self.local_node.name {
-            return;
+            return false;
         }
+        let claims = heartbeat.known_claims.iter().map(|claim| claim.token);
+        let tokens = claims.chain(heartbeat.claim_token).chain(heartbeat.known_token);
+        self.highest_token = tokens.fold(self.highest_token, u64::max);
+        let name = &heartbeat.node.name;
+        let position = self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name));
+        let known = position.ok().map(|index| &mut self.peers[index]);
+        let is_later = match known {
+            None => true,
+            Some(peer) if peer.is_superseded_by(&heartbeat, self.incarnation, now_ms) => true,
+            Some(peer) if peer.heartbeat.incarnation != heartbeat.incarnation => {
+                peer.record_unproven(heartbeat.incarnation);
+                return false;
+            }
+            Some(_) => false,
+        };
         if heartbeat.node.ip != self.local_node.ip {
             self.members.record_heartbeat(&heartbeat.node, now_ms);
         }
@@ -257,18 +301,15 @@
                 self.members.add_reported(&node, now_ms);
             }
         }
-        let claims = heartbeat.known_claims.iter().map(|claim| claim.token);
-        let tokens = claims.chain(heartbeat.claim_token).chain(heartbeat.known_token);
-        self.highest_token = tokens.fold(self.highest_token, u64::max);
-        let name = &heartbeat.node.name;
-        match self.peers.binary_search_by(|peer| peer.heartbeat.node.name.cmp(name)) {
+        match position {
             // A later heartbeat has overtaken this one, which may contain a released claim.
-            Ok(index) if self.peers[index].heartbeat.is_later_than(&heartbeat) => {}
+            Ok(_) if !is_later => return false,
             Ok(index) => {
                 let peer = &mut self.peers[index];
                 if peer.heartbeat.incarnation != heartbeat.incarnation {
                     peer.incarnation_since_ms = now_ms;
                     peer.awaits_answer = true;
+                    peer.unproven = None;
                 }
                 peer.clock.record_message(heartbeat.incarnation, heartbeat.clock_ms, now_ms);
                 peer.heartbeat = heartbeat;
@@ -282,10 +323,12 @@
                     incarnation_since_ms: now_ms,
                     clock,
                     awaits_answer: true,
+                    unproven: None,
                 };
                 self.peers.insert(index, peer);
             }
         }
+        true
     }
 
     /// Returns the additional delay of a peer's message over its fastest heartbeat.
@@ -375,6 +418,7 @@
             lacks_owner: self.claim_token().is_none() && !self.hears_zone_owner(now_ms),
             zone_members: Vec::new(),
             known_token: None,
+            recipient_clock: None,
         }
     }
 
--- a/crates/membership/src/recipients.rs
+++ b/crates/membership/src/recipients.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use crate::{Heartbeat, Node, Ownership, PeerState};
+use crate::{ClockReading, Heartbeat, Node, Ownership, PeerState};
 
 /// Interval, in rounds, at which heartbeats go to [`Recipients::All`] instead of
 /// [`Recipients::Zone`].
@@ -67,22 +67,25 @@
     /// Highest token that this process knows, for a process that may have made a claim before it
     /// started; usually `None`.
     pub known_token: Option<u64>,
+    /// Time that the recipient's clock has reached, in an answer.
+    pub clock: Option<ClockReading>,
 }
 
 impl Recipient {
     const fn new(ip: IpAddr) -> Self {
-        Recipient { ip, zone_members: Vec::new(), known_token: None }
+        Recipient { ip, zone_members: Vec::new(), known_token: None, clock: None }
     }
 
     /// Returns whether the recipient gets the same heartbeat as all others.
     pub const fn is_plain(&self) -> bool {
-        self.zone_members.is_empty() && self.known_token.is_none()
+        self.zone_members.is_empty() && self.known_token.is_none() && self.clock.is_none()
     }
 
     /// Returns the heartbeat for this recipient.
     pub fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
-        let Recipient { zone_members, known_token, .. } = self;
-        Heartbeat { zone_members: zone_members.clone(), known_token: *known_token, ..heartbeat }
+        let Recipient { zone_members, known_token, clock, .. } = self;
+        let zone_members = zone_members.clone();
+        Heartbeat { zone_members, known_token: *known_token, recipient_clock: *clock, ..heartbeat }
     }
 }
 
@@ -126,6 +129,7 @@
                     ip: member.ip,
                     zone_members: self.zone_members(node, turn, now_ms),
                     known_token: Some(self.highest_token()),
+                    clock: None,
                 },
                 _ => Recipient::new(member.ip),
             };
@@ -151,7 +155,9 @@
             false => Vec::new(),
         };
         let known_token = Some(self.highest_token());
-        Some(Recipient { ip: node.ip, zone_members, known_token })
+        // Shows the recipient that this is not a late heartbeat of a process that was replaced.
+        let clock = Some(peer.clock().reading(now_ms));
+        Some(Recipient { ip: node.ip, zone_members, known_token, clock })
     }
 
     /// Returns addresses in other zones of which no heartbeat has arrived. The next owner of such a
--- a/crates/membership/tests/elections/main.rs
+++ b/crates/membership/tests/elections/main.rs
@@ -54,7 +54,9 @@
 /// Lets a process at `node` claim at [`CLAIMED_AT_UNIX_MS`], after it heard `heartbeat`.
 fn claim_after(node: Node, heartbeat: Option<Heartbeat>) -> u64 {
     let mut ownership = Ownership::new(node, 1, 0);
-    heartbeat.into_iter().for_each(|heartbeat| ownership.record_heartbeat(heartbeat, 0));
+    if let Some(heartbeat) = heartbeat {
+        ownership.record_heartbeat(heartbeat, 0);
+    }
     claim(&mut ownership, CLAIMED_AT_UNIX_MS)
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -172,30 +172,30 @@
     let free_tasks = heartbeat.free_tasks;
     let own_claim = heartbeat.known_claims.iter().find(|known| known.owner == shared.settings.name);
     let token_known_to_peer = own_claim.map(|known| known.token);
-    if claim.is_some() && zone != shared.settings.zone {
-        let owner = shared.owner.load_full();
-        if let Some(owner) = owner {
-            owner.update_remote_capacity(&zone, if leaving { 0 } else { free_tasks });
-        }
-    }
     let now_ms = shared.now_ms();
     let listed = heartbeat.zone_members.clone();
-    let (new_owner, own_token, learned, answer) = shared.update_members(|ownership| {
+    let (is_later, new_owner, own_token, learned, answer) = shared.update_members(|ownership| {
         let owner_name = |ownership: &Ownership| {
             ownership.owner_of(&zone).map(|owner| owner.heartbeat.node.name.clone())
         };
         let is_unknown = |node: &Node| ownership.members().find(node.ip).is_none();
         let unknown: Vec<Node> = listed.into_iter().filter(is_unknown).collect();
         let owner_before = owner_name(ownership);
-        ownership.record_heartbeat(heartbeat, now_ms);
+        let is_later = ownership.record_heartbeat(heartbeat, now_ms);
         let owner_after = owner_name(ownership);
         let new_owner = (owner_before != owner_after).then_some(owner_after).flatten();
         let own_token = ownership.claim_token().filter(|_| zone == shared.settings.zone);
         let is_member = |node: &&Node| ownership.members().find(node.ip).is_some();
         let learned: Vec<String> =
             unknown.iter().filter(is_member).map(|node| node.name.clone()).collect();
-        (new_owner, own_token, learned, ownership.take_answer(&name, now_ms))
+        (is_later, new_owner, own_token, learned, ownership.take_answer(&name, now_ms))
     });
+    if is_later && claim.is_some() && zone != shared.settings.zone {
+        let owner = shared.owner.load_full();
+        if let Some(owner) = owner {
+            owner.update_remote_capacity(&zone, if leaving { 0 } else { free_tasks });
+        }
+    }
     if !learned.is_empty() {
         log_event!(info, PeersLearned, peer = name, learned = ?learned);
     }
