Replace the test's process in peer_jobs.rs as a real one is replaced

Cause: since late heartbeats of replaced processes are ignored, an incarnation that is introduced 2 ms after another one is not known yet, so that job_of_a_replaced_process_is_not_taken sent a job of the incarnation that counted. Change: the new incarnation begins 50 ms later and answers, as processes do. Its checks are as they were.

--- a/crates/greengagebeam/tests/peer_jobs.rs
+++ b/crates/greengagebeam/tests/peer_jobs.rs
@@ -58,13 +58,33 @@
         Ownership::new(self.node.clone(), incarnation, 0)
     }
 
-    /// Sends the first heartbeat of an incarnation and waits until it is answered, so that the recipient
-    /// knows the incarnation.
+    /// Sends the first heartbeat of an incarnation, and the answer to the one of the recipient that it gets in return.
     async fn introduce(&self, incarnation: u64) -> Heartbeat {
-        let heartbeat = self.process(incarnation).heartbeat(100_000);
-        let heartbeat = serde_json::to_vec(&heartbeat).expect("the heartbeat serializes");
+        let mut process = self.process(incarnation);
+        self.send(&process.heartbeat(100_000)).await;
+        let heartbeat = self.receive_answer().await;
+        process.record_heartbeat(heartbeat.clone(), 100_001);
+        let name = &heartbeat.node.name;
+        let answer = process.take_answer(name, 100_001).expect("the heartbeat is the first one");
+        self.send(&answer.heartbeat(process.heartbeat(100_001))).await;
+        heartbeat
+    }
+
+    /// Introduces an incarnation that replaces one which the recipient heard before it sent `heard`, and waits until the
+    /// recipient has noticed.
+    async fn replace(&self, incarnation: u64, heard: &Heartbeat) {
+        self.receive_heartbeat(|heartbeat| heartbeat.clock_ms > heard.clock_ms + 50).await;
+        self.introduce(incarnation).await;
+        self.receive_answer().await;
+    }
+
+    async fn send(&self, heartbeat: &Heartbeat) {
+        let heartbeat = serde_json::to_vec(heartbeat).expect("the heartbeat serializes");
         self.socket.send_to(&heartbeat, self.recipient).await.expect("send the heartbeat");
-        self.receive_heartbeat(|heartbeat| heartbeat.known_token.is_some()).await
+    }
+
+    async fn receive_answer(&self) -> Heartbeat {
+        self.receive_heartbeat(|heartbeat| heartbeat.recipient_clock.is_some()).await
     }
 
     /// Returns the next heartbeat of the recipient that meets a condition.
@@ -112,7 +132,7 @@
     /// Guards against two runs of a task whose job was held up and sent again elsewhere meanwhile.
     job_of_a_replaced_process_is_not_taken(76, fleet, peer) {
         let recipient = peer.introduce(FORMER_INCARNATION).await;
-        peer.introduce(INCARNATION).await;
+        peer.replace(INCARNATION, &recipient).await;
         peer.receive_heartbeat(|heartbeat| heartbeat.clock_ms > MAX_AGE_MS).await;
         let held_up = ClockReading { incarnation: recipient.incarnation, clock_ms: 0 };
         for (part, recipient_time) in [
