Begin the estimate of a peer's clock anew after its VM was suspended

What callers could see: a task that runs twice, if its job was held up for as long as its recipient was suspended.

Cause: the clock of a suspended VM stands still, so that its peers' estimates are too high by the suspension until the allowance for drift has made up for it (50 times as long), and ages too low by as much.

Change: a reading that the recipient sends in reply, and that is below the estimate for the time of the message, replaces it.

Tests: message_held_up_for_as_long_as_its_recipient_was_suspended_does_not_count_as_new fails without the replacement and passes with it.

--- a/crates/membership/src/message_age.rs
+++ b/crates/membership/src/message_age.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{MessageSender, Ownership};
+use crate::{MessageSender, Ownership, PeerClock};
 
 /// Reading of the monotonic clock of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +47,29 @@
         })
     }
 
+    /// Records the reading that the process at `ip` sent in reply to a message of `sent_at_ms`.
+    ///
+    /// A reading below the estimate for that time shows that the clock stood still, as in a suspended VM; the estimate then
+    /// begins anew.
+    pub fn record_reading(
+        &mut self,
+        ip: IpAddr,
+        reading: ClockReading,
+        sent_at_ms: u64,
+        now_ms: u64,
+    ) {
+        let ClockReading { incarnation, clock_ms } = reading;
+        let is_behind = |estimate: ClockReading| {
+            estimate.incarnation == incarnation && clock_ms < estimate.clock_ms
+        };
+        let peers = self.peers_mut().iter_mut();
+        for peer in peers.filter(|peer| peer.heartbeat.node.ip == ip) {
+            if is_behind(peer.clock().reading(sent_at_ms)) {
+                peer.set_clock(PeerClock::new(incarnation, clock_ms, now_ms));
+            }
+        }
+    }
+
     /// Returns the time that has passed at most since a message was sent, or `None` if that is not
     /// known.
     ///
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -81,6 +81,10 @@
         &self.clock
     }
 
+    pub(crate) const fn set_clock(&mut self, clock: PeerClock) {
+        self.clock = clock;
+    }
+
     /// Returns whether a heartbeat shows a later state of the peer than the last one, to the process
     /// with the incarnation `recipient`.
     ///
@@ -198,6 +202,10 @@
         &self.peers
     }
 
+    pub(crate) fn peers_mut(&mut self) -> &mut [PeerState] {
+        &mut self.peers
+    }
+
     /// Returns the other processes that are known to exist.
     pub const fn members(&self) -> &Members {
         &self.members
--- a/crates/membership/tests/message_age.rs
+++ b/crates/membership/tests/message_age.rs
@@ -90,6 +90,20 @@
         assert_eq!(recipient.max_message_age_ms(&message_sender, recipient_time, 100), None);
     }
 
+    // The recipient's clock shows 1,010 in place of 4,010 after its VM was suspended for 3 s.
+    message_held_up_for_as_long_as_its_recipient_was_suspended_does_not_count_as_new(recipient) {
+        let mut sender = sender_that_heard(1_000, 50_001);
+        let estimate = recipient_time(&sender, 53_011);
+        let message_sender = sender.message_sender(53_011);
+        assert_eq!(recipient.max_message_age_ms(&message_sender, estimate, 1_011), None);
+        let reading = recipient.clock_reading(1_011);
+        sender.record_reading(node(RECIPIENT).ip, reading, 53_011, 53_012);
+        let estimate = recipient_time(&sender, 53_020);
+        let message_sender = sender.message_sender(53_020);
+        let age_ms = recipient.max_message_age_ms(&message_sender, estimate, 4_019);
+        assert!(age_ms.is_some_and(|age_ms| age_ms >= 3_000), "{age_ms:?}");
+    }
+
     message_of_a_replaced_sender_of_a_former_build_has_no_known_age(recipient) {
         let mut recipient = recipient;
         recipient.record_heartbeat(process(SENDER, 2).heartbeat(10), 3_000);
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -250,8 +250,12 @@
     let addr = shared.peer_addr(ip);
     let result = shared.http.post(addr, "/jobs", body, REPLY_TIMEOUT_MS).await;
     let reply = result.map_err(|error| error.current_context().sent())?;
-    serde_json::from_slice(&reply.body).map_err(|error| {
+    let reply = serde_json::from_slice(&reply.body).map_err(|error| {
         log_event!(warn, PeerMessageInvalid, peer = %addr, error = %error);
         Sent::Maybe
-    })
+    })?;
+    if let JobReply::Resend { clock } = reply {
+        shared.ownership.lock().record_reading(ip, clock, sent_at_ms, shared.now_ms());
+    }
+    Ok(reply)
 }
