--- a/crates/greengagebeam/tests/peer_jobs.rs
+++ b/crates/greengagebeam/tests/peer_jobs.rs
@@ -58,7 +58,8 @@
         Ownership::new(self.node.clone(), incarnation, 0)
     }
 
-    /// Sends the first heartbeat of an incarnation, and the answer to the one of the recipient that it gets in return.
+    /// Sends the first heartbeat of an incarnation, and the answer to the one of the recipient that
+    /// it gets in return.
     async fn introduce(&self, incarnation: u64) -> Heartbeat {
         let mut process = self.process(incarnation);
         self.send(&process.heartbeat(100_000)).await;
@@ -70,8 +71,8 @@
         heartbeat
     }
 
-    /// Introduces an incarnation that replaces one which the recipient heard before it sent `heard`, and waits until the
-    /// recipient has noticed.
+    /// Introduces an incarnation that replaces one which the recipient heard before it sent
+    /// `heard`, and waits until the recipient has noticed.
     async fn replace(&self, incarnation: u64, heard: &Heartbeat) {
         self.receive_heartbeat(|heartbeat| heartbeat.clock_ms > heard.clock_ms + 50).await;
         self.introduce(incarnation).await;
@@ -115,9 +116,8 @@
 }
 
 macro_rules! cases {
-    ($($(#[doc = $guard:literal])+ $name:ident($net_octet:literal, $fleet:ident, $peer:ident) $body:block)+) => {
+    ($($name:ident($net_octet:literal, $fleet:ident, $peer:ident) $body:block)+) => {
         $(
-            $(#[doc = $guard])+
             #[async_std::test]
             async fn $name() {
                 let $fleet = Fleet::spawn($net_octet, SIZE).await;
@@ -129,7 +129,7 @@
 }
 
 cases! {
-    /// Guards against two runs of a task whose job was held up and sent again elsewhere meanwhile.
+    // Guards against two runs of a task whose job was held up and sent again elsewhere meanwhile.
     job_of_a_replaced_process_is_not_taken(76, fleet, peer) {
         let recipient = peer.introduce(FORMER_INCARNATION).await;
         peer.replace(INCARNATION, &recipient).await;
@@ -148,7 +148,7 @@
         assert_eq!(fleet.run_records(), []);
     }
 
-    /// Guards against jobs of new VMs that are turned away until their first heartbeat arrives.
+    // Guards against jobs of new VMs that are turned away until their first heartbeat arrives.
     first_job_of_a_process_without_heartbeats_is_taken(77, fleet, peer) {
         let first = PeerJob {
             recipient_time: Some(RecipientTime::Unknown),
@@ -161,7 +161,7 @@
         assert_eq!(answer, json!({ "answered": "completed" }));
     }
 
-    /// Guards against jobs that a process waiting to start, or to be continued, takes for new.
+    // Guards against jobs that a process waiting to start, or to be continued, takes for new.
     job_sent_to_a_former_incarnation_of_the_recipient_is_not_taken(78, fleet, peer) {
         let recipient = peer.introduce(INCARNATION).await;
         let former = ClockReading { incarnation: recipient.incarnation ^ 1, clock_ms: 0 };
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -62,8 +62,8 @@
     /// started.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub known_token: Option<u64>,
-    /// Time that the recipient's clock had reached when this heartbeat was sent, in answers to first
-    /// heartbeats.
+    /// Time that the recipient's clock had reached when this heartbeat was sent, in answers to
+    /// first heartbeats.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub recipient_clock: Option<ClockReading>,
 }
--- a/crates/membership/src/message_age.rs
+++ b/crates/membership/src/message_age.rs
@@ -36,8 +36,8 @@
         ClockReading { incarnation: self.incarnation(), clock_ms: now_ms }
     }
 
-    /// Returns what this process knows of the clock of the process at `ip`, for a message that it sends
-    /// at `now_ms`.
+    /// Returns what this process knows of the clock of the process at `ip`, for a message that it
+    /// sends at `now_ms`.
     pub fn recipient_time(&self, ip: IpAddr, now_ms: u64) -> RecipientTime {
         let at_ip = self.peers().iter().filter(|peer| peer.heartbeat.node.ip == ip);
         // After a VM was replaced at its address, the one that was heard last counts.
@@ -49,8 +49,8 @@
 
     /// Records the reading that the process at `ip` sent in reply to a message of `sent_at_ms`.
     ///
-    /// A reading below the estimate for that time shows that the clock stood still, as in a suspended VM; the estimate then
-    /// begins anew.
+    /// A reading below the estimate for that time shows that the clock stood still, as in a
+    /// suspended VM; the estimate then begins anew.
     pub fn record_reading(
         &mut self,
         ip: IpAddr,
@@ -73,9 +73,9 @@
     /// Returns the time that has passed at most since a message was sent, or `None` if that is not
     /// known.
     ///
-    /// A reading of this process's own clock limits the age whichever incarnation of the sender sent
-    /// the message, heard or not. A reading in the future shows that this clock stood still, as in a
-    /// suspended VM.
+    /// A reading of this process's own clock limits the age whichever incarnation of the sender
+    /// sent the message, heard or not. A reading in the future shows that this clock stood still,
+    /// as in a suspended VM.
     pub fn max_message_age_ms(
         &self,
         sender: &MessageSender,
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -65,7 +65,8 @@
     /// Local time at which the first heartbeat of the peer's current incarnation arrived.
     pub incarnation_since_ms: u64,
     clock: PeerClock,
-    /// Whether the first heartbeat of the current incarnation, or of `unproven`, was not answered yet.
+    /// Whether the first heartbeat of the current incarnation, or of `unproven`, was not answered
+    /// yet.
     awaits_answer: bool,
     /// The last other incarnation of which a heartbeat arrived that may have been held up.
     unproven: Option<u64>,
@@ -85,11 +86,11 @@
         self.clock = clock;
     }
 
-    /// Returns whether a heartbeat shows a later state of the peer than the last one, to the process
-    /// with the incarnation `recipient`.
+    /// Returns whether a heartbeat shows a later state of the peer than the last one, to the
+    /// process with the incarnation `recipient`.
     ///
-    /// While a process is alive, a heartbeat of another incarnation may come from one that it has replaced, unless
-    /// it was sent after the last heartbeat arrived.
+    /// While a process is alive, a heartbeat of another incarnation may come from one that it has
+    /// replaced, unless it was sent after the last heartbeat arrived.
     fn is_superseded_by(&self, heartbeat: &Heartbeat, recipient: u64, now_ms: u64) -> bool {
         match heartbeat.recipient_clock {
             _ if heartbeat.incarnation == self.heartbeat.incarnation => {
@@ -103,8 +104,8 @@
         }
     }
 
-    /// Records that a heartbeat of another incarnation arrived that may have been held up. The answer gives the sender
-    /// the time that proves the next one.
+    /// Records that a heartbeat of another incarnation arrived that may have been held up. The
+    /// answer gives the sender the time that proves the next one.
     fn record_unproven(&mut self, incarnation: u64) {
         if self.unproven.replace(incarnation) != Some(incarnation) {
             self.awaits_answer = true;
@@ -279,8 +280,8 @@
         std::mem::replace(&mut self.claim_state, ClaimState::Follower) != ClaimState::Follower
     }
 
-    /// Records the heartbeat of a peer; heartbeats of this VM are ignored. Returns whether it shows a later state of the
-    /// peer than the last one.
+    /// Records the heartbeat of a peer; heartbeats of this VM are ignored. Returns whether it shows
+    /// a later state of the peer than the last one.
     pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now_ms: u64) -> bool {
         if heartbeat.node.name == self.local_node.name {
             return false;
--- a/crates/membership/src/peer_clock.rs
+++ b/crates/membership/src/peer_clock.rs
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Returns a time that the peer's clock has reached at `now_ms`, by the clocks' offset and drift.
+    /// Returns a time that the peer's clock has reached at `now_ms`, by the clocks' offset and
+    /// drift.
     pub fn reading(&self, now_ms: u64) -> ClockReading {
         let clock_ms = now_ms.cast_signed().saturating_sub(self.max_offset_ms(now_ms));
         let clock_ms = u64::try_from(clock_ms).unwrap_or(0).saturating_sub(ROUNDING_MS);
--- a/crates/membership/tests/message_age.rs
+++ b/crates/membership/tests/message_age.rs
@@ -27,7 +27,8 @@
     sender.recipient_time(node(RECIPIENT).ip, now_ms)
 }
 
-/// Returns a sender that got a heartbeat of the recipient, sent at `clock_ms`, at its time `now_ms`.
+/// Returns a sender that got a heartbeat of the recipient, sent at `clock_ms`, at its time
+/// `now_ms`.
 fn sender_that_heard(clock_ms: u64, now_ms: u64) -> Ownership {
     let mut sender = process(SENDER, 1);
     sender.record_heartbeat(process(RECIPIENT, 1).heartbeat(clock_ms), now_ms);
@@ -162,8 +163,8 @@
     Reading { incarnation: u64, clock: ClockReading, sent_at_ms: u64 },
 }
 
-/// Sends heartbeats and jobs with random delays between two VMs that restart. Returns the number of jobs that
-/// were taken.
+/// Sends heartbeats and jobs with random delays between two VMs that restart. Returns the number of
+/// jobs that were taken.
 fn run(seed: u64) -> usize {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut clock_permille = || rng.random_range(990..=1_010);
--- a/crates/membership/tests/replaced_process.rs
+++ b/crates/membership/tests/replaced_process.rs
@@ -41,7 +41,8 @@
 }
 
 cases! {
-    // Guards against an owner that its peers no longer see, or a claim that comes back after its process was killed.
+    // Guards against an owner that its peers no longer see, or a claim that comes back after its
+    // process was killed.
     late_heartbeat_of_a_replaced_process_does_not_count(ownership) {
         ownership.record_heartbeat(heartbeat(CURRENT, 100, None), 2_000);
         assert_eq!(peer_state(&ownership), (CURRENT, None));
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -51,8 +51,8 @@
         #[serde(rename = "token")]
         claim: ClaimId,
     },
-    /// The job was not taken, since it may have been sent too long ago. The sender sends it again with
-    /// this reading of the recipient's clock, if it still waits.
+    /// The job was not taken, since it may have been sent too long ago. The sender sends it again
+    /// with this reading of the recipient's clock, if it still waits.
     Resend {
         /// The recipient's clock at the time of the reply.
         clock: ClockReading,
@@ -78,7 +78,8 @@
     /// Version of the sender's configuration; 0 if the sender does not tell.
     #[serde(default)]
     configuration_version: u64,
-    /// What the sender knew of the recipient's clock at the time to which the ages in the submission refer.
+    /// What the sender knew of the recipient's clock at the time to which the ages in the
+    /// submission refer.
     #[serde(default)]
     recipient_time: RecipientTime,
 }
@@ -221,8 +222,8 @@
 
 /// Sends a job to the owner at `ip` and returns the owner's reply.
 ///
-/// `sent_at_ms` is the time to which the ages in the submission refer. `reading` is a reading of the owner's
-/// clock from before that time, if the owner sent one in its last reply.
+/// `sent_at_ms` is the time to which the ages in the submission refer. `reading` is a reading of
+/// the owner's clock from before that time, if the owner sent one in its last reply.
 ///
 /// # Errors
 ///
