Split the simulated network of the message ages into steps

Cause: the property test was one function of some 120 lines. Change: a network with a method for each kind of message; the checks are as they were.

--- a/crates/membership/tests/message_age.rs
+++ b/crates/membership/tests/message_age.rs
@@ -145,124 +145,150 @@
     }
 }
 
+/// A job on its way to the recipient.
+#[derive(Clone, Copy)]
+struct Job {
+    sender: u64,
+    clock_ms: u64,
+    recipient_time: RecipientTime,
+    sent_at_ms: u64,
+    /// Incarnation of the recipient when the job was sent.
+    sent_to: u64,
+    /// Time at which the recipient sent the reading in `recipient_time`, unless that is an estimate.
+    reading_sent_at_ms: Option<u64>,
+}
+
 /// A message between the two VMs.
 #[derive(Clone, Copy)]
 enum Message {
     /// Of the recipient to the sender of jobs.
-    Heartbeat { incarnation: u64, clock_ms: u64 },
-    Job {
+    Heartbeat {
         incarnation: u64,
         clock_ms: u64,
+    },
+    Job(Job),
+    /// The recipient's reply to a job of `sender` that it did not take.
+    Reading {
+        sender: u64,
+        clock: ClockReading,
         sent_at_ms: u64,
-        recipient_incarnation: u64,
-        recipient_time: RecipientTime,
-        /// Time at which the recipient replied with a reading, if the job is sent again.
-        reading_sent_at_ms: Option<u64>,
     },
-    /// The recipient's reply to a job that it did not take.
-    Reading { incarnation: u64, clock: ClockReading, sent_at_ms: u64 },
 }
 
-/// Sends heartbeats and jobs with random delays between two VMs that restart. Returns the number of
-/// jobs that were taken.
-fn run(seed: u64) -> usize {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut clock_permille = || rng.random_range(990..=1_010);
-    let mut sender = Vm::start(SENDER, clock_permille());
-    let mut recipient = Vm::start(RECIPIENT, clock_permille());
-    // Messages and the times of their arrival.
-    let mut in_flight: Vec<(u64, Message)> = Vec::new();
-    let mut taken = 0;
-    for now_ms in 1..20_000 {
-        if rng.random_range(0..2_000) == 0 {
-            sender.restart(now_ms);
+/// Two VMs of which one sends heartbeats and the other one jobs.
+struct Network {
+    rng: ChaCha8Rng,
+    now_ms: u64,
+    sender: Vm,
+    recipient: Vm,
+    /// Messages and the times of their arrival.
+    in_flight: Vec<(u64, Message)>,
+    /// Number of jobs that were taken.
+    taken: usize,
+}
+
+impl Network {
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let sender = Vm::start(SENDER, rng.random_range(990..=1_010));
+        let recipient = Vm::start(RECIPIENT, rng.random_range(990..=1_010));
+        Network { rng, now_ms: 0, sender, recipient, in_flight: Vec::new(), taken: 0 }
+    }
+
+    /// Sends a message, of which one in five is held up.
+    fn send(&mut self, message: Message) {
+        let is_held_up = self.rng.random_range(0..5) == 0;
+        let delay_ms = self.rng.random_range(0..if is_held_up { MAX_DELAY_MS } else { 5 });
+        self.in_flight.push((self.now_ms + delay_ms, message));
+    }
+
+    /// Sends a job with an estimate of the recipient's clock, or with a reading and the time at which
+    /// the recipient sent it.
+    fn send_job(&mut self, reading: Option<(ClockReading, u64)>) {
+        let clock_ms = self.sender.clock_ms(self.now_ms);
+        let recipient_time = match reading {
+            Some((clock, _)) => RecipientTime::AtLeast(clock),
+            None => recipient_time(&self.sender.process, clock_ms),
+        };
+        self.send(Message::Job(Job {
+            sender: self.sender.incarnation,
+            clock_ms,
+            recipient_time,
+            sent_at_ms: self.now_ms,
+            sent_to: self.recipient.incarnation,
+            reading_sent_at_ms: reading.map(|(_, sent_at_ms)| sent_at_ms),
+        }));
+    }
+
+    /// Lets a millisecond pass.
+    fn step(&mut self) {
+        self.now_ms += 1;
+        if self.rng.random_range(0..2_000) == 0 {
+            self.sender.restart(self.now_ms);
         }
-        if rng.random_range(0..4_000) == 0 {
-            recipient.restart(now_ms);
+        if self.rng.random_range(0..4_000) == 0 {
+            self.recipient.restart(self.now_ms);
         }
-        let is_held_up = rng.random_range(0..5) == 0;
-        let delay_ms = rng.random_range(0..if is_held_up { MAX_DELAY_MS } else { 5 });
-        let job = |reading: Option<(ClockReading, u64)>, sender: &Vm, recipient: &Vm| {
-            let clock_ms = sender.clock_ms(now_ms);
-            let recipient_time = match reading {
-                Some((clock, _)) => RecipientTime::AtLeast(clock),
-                None => recipient_time(&sender.process, clock_ms),
-            };
-            Message::Job {
-                incarnation: sender.incarnation,
-                clock_ms,
-                sent_at_ms: now_ms,
-                recipient_incarnation: recipient.incarnation,
-                recipient_time,
-                reading_sent_at_ms: reading.map(|(_, sent_at_ms)| sent_at_ms),
-            }
-        };
-        if now_ms % 100 == 0 {
-            let (incarnation, clock_ms) = (recipient.incarnation, recipient.clock_ms(now_ms));
-            in_flight.push((now_ms + delay_ms, Message::Heartbeat { incarnation, clock_ms }));
+        if self.now_ms.is_multiple_of(100) {
+            let clock_ms = self.recipient.clock_ms(self.now_ms);
+            self.send(Message::Heartbeat { incarnation: self.recipient.incarnation, clock_ms });
         }
-        if rng.random_range(0..20) == 0 {
-            in_flight.push((now_ms + delay_ms, job(None, &sender, &recipient)));
+        if self.rng.random_range(0..20) == 0 {
+            self.send_job(None);
         }
-        let arrived = in_flight.extract_if(.., |(arrives_at_ms, _)| *arrives_at_ms <= now_ms);
+        let now_ms = self.now_ms;
+        let arrived = self.in_flight.extract_if(.., |(arrives_at_ms, _)| *arrives_at_ms <= now_ms);
         for (_, message) in arrived.collect::<Vec<_>>() {
-            match message {
-                Message::Heartbeat { incarnation, clock_ms } => {
-                    let heartbeat = process(RECIPIENT, incarnation).heartbeat(clock_ms);
-                    sender.process.record_heartbeat(heartbeat, sender.clock_ms(now_ms));
-                }
-                Message::Reading { incarnation, clock, sent_at_ms } => {
-                    if incarnation == sender.incarnation {
-                        let again = job(Some((clock, sent_at_ms)), &sender, &recipient);
-                        in_flight.push((now_ms + delay_ms, again));
-                    }
-                }
-                Message::Job {
-                    incarnation,
-                    clock_ms,
-                    sent_at_ms,
-                    recipient_incarnation,
-                    recipient_time,
-                    reading_sent_at_ms,
-                } => {
-                    let message_sender = process(SENDER, incarnation).message_sender(clock_ms);
-                    let recipient_ms = recipient.clock_ms(now_ms);
-                    let max_age_ms = recipient.process.max_message_age_ms(
-                        &message_sender,
-                        recipient_time,
-                        recipient_ms,
-                    );
-                    let is_same_recipient = recipient_incarnation == recipient.incarnation;
-                    let age_ms =
-                        is_same_recipient.then(|| recipient_ms - recipient.clock_ms(sent_at_ms));
-                    assert!(
-                        max_age_ms.is_none_or(|max_age_ms| {
-                            age_ms.is_some_and(|age_ms| age_ms <= max_age_ms)
-                        }),
-                        "a job of age {age_ms:?} ms counts as {max_age_ms:?} ms old at {now_ms} ms"
-                    );
-                    if max_age_ms.is_some_and(|max_age_ms| max_age_ms <= MAX_AGE_MS) {
-                        taken += 1;
-                        continue;
-                    }
-                    let is_reading_current = matches!(
-                        recipient_time,
-                        RecipientTime::AtLeast(clock) if clock.incarnation == recipient.incarnation
-                    );
-                    let is_answered_in_time = reading_sent_at_ms
-                        .is_some_and(|sent_at_ms| now_ms - sent_at_ms < MAX_AGE_MS - 20);
-                    assert!(
-                        !(is_answered_in_time && is_reading_current),
-                        "a job with a reading that was just sent is not taken at {now_ms} ms"
-                    );
-                    let clock = recipient.process.clock_reading(recipient_ms);
-                    let reading = Message::Reading { incarnation, clock, sent_at_ms: now_ms };
-                    in_flight.push((now_ms + delay_ms, reading));
-                }
+            self.deliver(message);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Heartbeat { incarnation, clock_ms } => {
+                let heartbeat = process(RECIPIENT, incarnation).heartbeat(clock_ms);
+                let now_ms = self.sender.clock_ms(self.now_ms);
+                self.sender.process.record_heartbeat(heartbeat, now_ms);
+            }
+            Message::Job(job) => self.receive_job(job),
+            Message::Reading { sender, clock, sent_at_ms } if sender == self.sender.incarnation => {
+                self.send_job(Some((clock, sent_at_ms)));
             }
+            Message::Reading { .. } => {}
+        }
+    }
+
+    /// Takes a job or replies with a reading, and checks the job's age against the true one.
+    fn receive_job(&mut self, job: Job) {
+        let now_ms = self.recipient.clock_ms(self.now_ms);
+        let message_sender = process(SENDER, job.sender).message_sender(job.clock_ms);
+        let recipient = &self.recipient.process;
+        let max_age_ms = recipient.max_message_age_ms(&message_sender, job.recipient_time, now_ms);
+        let age_ms = (job.sent_to == self.recipient.incarnation)
+            .then(|| now_ms - self.recipient.clock_ms(job.sent_at_ms));
+        assert!(
+            max_age_ms.is_none() || age_ms.is_some_and(|age_ms| Some(age_ms) <= max_age_ms),
+            "a job of age {age_ms:?} ms counts as {max_age_ms:?} ms old at {now_ms} ms"
+        );
+        if max_age_ms.is_some_and(|max_age_ms| max_age_ms <= MAX_AGE_MS) {
+            self.taken += 1;
+            return;
         }
+        let is_reading_current = matches!(
+            job.recipient_time,
+            RecipientTime::AtLeast(clock) if clock.incarnation == self.recipient.incarnation
+        );
+        let is_reading_new = job
+            .reading_sent_at_ms
+            .is_some_and(|sent_at_ms| self.now_ms - sent_at_ms < MAX_AGE_MS - 20);
+        assert!(
+            !(is_reading_current && is_reading_new),
+            "a job with a reading that was just sent is not taken at {now_ms} ms"
+        );
+        let clock = recipient.clock_reading(now_ms);
+        let sent_at_ms = self.now_ms;
+        self.send(Message::Reading { sender: job.sender, clock, sent_at_ms });
     }
-    taken
 }
 
 // Guards against jobs that count as new although they were held up, whoever was replaced meanwhile.
@@ -270,7 +296,8 @@
 fn age_of_a_job_is_never_underestimated_and_jobs_just_sent_are_taken() {
     for seed in 0..200 {
         println!("seed {seed}");
-        let taken = run(seed);
-        assert!(taken > 500, "{taken} jobs were taken");
+        let mut network = Network::new(seed);
+        (0..20_000).for_each(|_| network.step());
+        assert!(network.taken > 500, "{} jobs were taken", network.taken);
     }
 }
