--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -194,16 +194,16 @@
             log_event!(warn, PeerMessageLate, job = %job, part, peer = sender.name, max_age_ms);
         }
         None => {
-            let now_ms = shared.now_ms();
             let ownership = shared.ownership.lock();
+            let now_ms = shared.now_ms();
             let heard = ownership.find_peer(&sender.name);
             log_event!(
                 info, PeerMessageUndated, job = %job, part, peer = sender.name,
                 incarnation = sender.incarnation, clock_ms = sender.clock_ms,
                 recipient_time = ?recipient_time,
                 heard_incarnation = heard.map(|peer| peer.heartbeat.incarnation),
-                heard_since_ms = heard.map(|peer| now_ms - peer.incarnation_since_ms),
-                heard_ms_ago = heard.map(|peer| now_ms - peer.last_heartbeat_ms)
+                heard_since_ms = heard.map(|peer| now_ms.saturating_sub(peer.incarnation_since_ms)),
+                heard_ms_ago = heard.map(|peer| now_ms.saturating_sub(peer.last_heartbeat_ms))
             );
         }
     }
